Add the design page, the workspace and the interfaces between its parts

Cause: the repository was empty; the parts can only be built side by side once the reducer's events and effects and the ports are fixed. Change: design page, glossary, five Maven modules, value types, history records with a hash chain, events and effects, ports, HTTP server and client factories, messages between nodes. Before and after: nothing before; formatter, linter and 4 tests pass. Conclusion: the parts compile against each other; the sub-reducers follow.

--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/membership/NodeRecord.kt
@@ -0,0 +1,19 @@
+package lavendertrail.membership
+
+import kotlinx.serialization.Serializable
+import lavendertrail.model.FailureDomain
+import lavendertrail.model.NodeId
+import lavendertrail.model.RegionId
+
+/** What a node writes about itself into the key-value service, under its lease. */
+@Serializable
+public data class NodeRecord(
+    public val node: NodeId,
+    public val region: RegionId,
+    public val failureDomain: FailureDomain,
+    public val peerAddress: String,
+    public val apiAddress: String,
+    public val incarnation: Long,
+    public val journal: Boolean,
+    public val leaving: Boolean = false,
+)
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramsState.kt
@@ -0,0 +1,6 @@
+package lavendertrail.program
+
+/** Programs of the partitions that this node owns. */
+public data class ProgramsState(
+    internal val nextAppendId: Long = 1,
+)
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/reducer/ConfigEvents.kt
@@ -0,0 +1,48 @@
+package lavendertrail.reducer
+
+import kotlinx.serialization.Serializable
+import lavendertrail.model.NodeId
+
+/** One configuration record as stored: [json] is kept whole, also where its schema version is not known here. */
+@Serializable
+public data class StoredRecord(
+    public val kind: String,
+    public val name: String,
+    public val json: String,
+    public val revision: Long,
+    public val deleted: Boolean = false,
+)
+
+/** Records read from the service or from a peer. [headRevision] is the highest revision that the source knows. */
+@Serializable
+public data class ConfigRecordsReceived(
+    public val records: List<StoredRecord>,
+    public val headRevision: Long,
+    public val source: String,
+) : Event
+
+/** A peer has a newer configuration revision than this node. */
+@Serializable
+public data class ConfigBehind(
+    public val peer: NodeId,
+    public val peerRevision: Long,
+) : Signal
+
+/** Fetches records newer than [afterRevision] from [peer]. */
+public data class FetchConfig(
+    public val peer: NodeId,
+    public val afterRevision: Long,
+) : Effect
+
+/** A change came into force here. */
+@Serializable
+public data class ConfigApplied(
+    public val revision: Long,
+    public val kinds: Set<String>,
+) : Signal
+
+/** Keeps the configuration on the node's disk, if it has one, for a start without service and peers. */
+public data class SaveConfig(
+    public val records: List<StoredRecord>,
+    public val headRevision: Long,
+) : Effect
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/peer/SubmitReply.kt
@@ -0,0 +1,51 @@
+package lavendertrail.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import lavendertrail.history.HistoryRecord
+import lavendertrail.model.CallResult
+import lavendertrail.model.ProgramId
+import lavendertrail.model.Refusal
+import lavendertrail.model.Usage
+
+/** What the owner node answers. Any number of [Text] is followed by exactly one of the others. */
+@Serializable
+public sealed interface SubmitReply {
+    /** Answer text that starts at byte [offsetBytes] of the whole answer in UTF-8. */
+    @Serializable
+    @SerialName("text")
+    public data class Text(
+        public val offsetBytes: Long,
+        public val text: String,
+    ) : SubmitReply
+
+    @Serializable
+    @SerialName("call")
+    public data class Call(
+        public val result: CallResult,
+    ) : SubmitReply
+
+    @Serializable
+    @SerialName("opened")
+    public data class Opened(
+        public val program: ProgramId,
+    ) : SubmitReply
+
+    @Serializable
+    @SerialName("ended")
+    public data class Ended(
+        public val total: Usage,
+    ) : SubmitReply
+
+    @Serializable
+    @SerialName("history")
+    public data class History(
+        public val records: List<HistoryRecord>,
+    ) : SubmitReply
+
+    @Serializable
+    @SerialName("refused")
+    public data class Refused(
+        public val refusal: Refusal,
+    ) : SubmitReply
+}
