Add the configuration sub-reducer

Cause: nodes need typed records in force, and an accepted record must never revert, whatever order watches, peers and restarts deliver it in. Change: records are replaced only by a higher revision, deletions are kept as records, complete listings delete what they lack, unknown schema versions are kept whole and reported. Conclusion: a node can be fed from the service, a peer or disk in any order.

--- a/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
+++ b/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
@@ -24,4 +24,5 @@
     public val models: PersistentMap<ModelId, ModelRecord> = persistentMapOf(),
     public val rejected: PersistentMap<String, String> = persistentMapOf(),
     public val appliedAtMillis: Long = 0,
+    internal val fetchedAtMillis: Long = Long.MIN_VALUE / 2,
 )
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/config/RecordKind.kt
@@ -0,0 +1,21 @@
+package lavendertrail.config
+
+/** Kinds of configuration records; [key] is the kind's name in keys and commands. */
+public enum class RecordKind(
+    public val key: String,
+) {
+    OWNER("owner"),
+    ACCOUNT("account"),
+    ASSISTANT("assistant"),
+    HELPER("helper"),
+    BUDGET("budget"),
+    PRIORITY("priority"),
+    SERVER("server"),
+    TOOL("tool"),
+    MODEL("model"),
+    ;
+
+    public companion object {
+        public fun ofKeyOrNull(key: String): RecordKind? = entries.find { it.key == key }
+    }
+}
--- a/core/src/main/kotlin/lavendertrail/membership/ProbeMessage.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/ProbeMessage.kt
@@ -17,13 +17,13 @@
     public val nodeRecord: NodeRecord? = null,
 )
 
-/** [observer] can't reach [node] in this [incarnation]. */
+/** [observer] can't reach [node] in this [incarnation]; it said so [ageMillis] ago. */
 @Serializable
 public data class Suspicion(
     public val node: NodeId,
     public val incarnation: Long,
     public val observer: NodeId,
-    public val sinceMillis: Long,
+    public val ageMillis: Long,
 )
 
 /** Calls of an account that run at the sender, for limits that span nodes. */
--- a/core/src/main/kotlin/lavendertrail/reducer/ConfigEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/ConfigEvents.kt
@@ -13,12 +13,16 @@
     public val deleted: Boolean = false,
 )
 
-/** Records read from the service or from a peer. [headRevision] is the highest revision that the source knows. */
+/**
+ * Records read from the service or from a peer. [headRevision] is the highest revision that the source knows. With
+ * [complete] the source has no other records, so what is missing was deleted at [headRevision] at the latest.
+ */
 @Serializable
 public data class ConfigRecordsReceived(
     public val records: List<StoredRecord>,
     public val headRevision: Long,
     public val source: String,
+    public val complete: Boolean = false,
 ) : Event
 
 /** A peer has a newer configuration revision than this node. */
--- /dev/null
+++ b/core/src/test/kotlin/lavendertrail/config/ConfigReducerTest.kt
@@ -0,0 +1,99 @@
+package lavendertrail.config
+
+import lavendertrail.membership.NodeRecord
+import lavendertrail.membership.ProbeMessage
+import lavendertrail.model.FailureDomain
+import lavendertrail.model.NodeId
+import lavendertrail.model.OwnerId
+import lavendertrail.model.RegionId
+import lavendertrail.reducer.ConfigRecordsReceived
+import lavendertrail.reducer.FetchConfig
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.ProbeReceived
+import lavendertrail.reducer.StoredRecord
+import lavendertrail.reducer.TimedEvent
+import lavendertrail.reducer.reduce
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class ConfigReducerTest {
+    private val barakah = OwnerId("barakah")
+    private val empty =
+        NodeState(NodeRecord(NodeId("n1"), RegionId("batinah"), FailureDomain("sohar"), "127.0.0.1:1", "127.0.0.1:2", 1, journal = false))
+
+    private fun owner(
+        weight: Int,
+        revision: Long,
+        version: Int = 1,
+    ) = StoredRecord(
+        "owner",
+        "barakah",
+        """{"schemaVersion":$version,"owner":"barakah","region":"batinah","weight":$weight}""",
+        revision,
+    )
+
+    private fun NodeState.receive(
+        vararg records: StoredRecord,
+        headRevision: Long = records.maxOfOrNull { it.revision } ?: 0,
+        complete: Boolean = false,
+    ): NodeState = reduce(this, TimedEvent(1_000, 7, ConfigRecordsReceived(records.toList(), headRevision, "test", complete))).state
+
+    private val NodeState.weight: Int? get() = config.owners[barakah]?.weight
+
+    /** Guards against a late watch or a peer that is behind, which would bring an old record back. */
+    @Test
+    fun `a record of a lower revision never replaces a higher one`() {
+        val state = empty.receive(owner(weight = 2, revision = 8)).receive(owner(weight = 1, revision = 5))
+
+        assertEquals(2, state.weight)
+        assertEquals(8, state.config.headRevision)
+    }
+
+    /** Guards against a deleted record that a peer brings back. */
+    @Test
+    fun `a deletion outlives an older copy of the record`() {
+        val deletion = owner(1, 9).copy(json = "{}", deleted = true)
+
+        assertNull(
+            empty
+                .receive(owner(1, 5))
+                .receive(deletion)
+                .receive(owner(1, 5))
+                .weight,
+        )
+    }
+
+    /** Guards against a deletion that is missed because the watch was down when it happened. */
+    @Test
+    fun `a complete listing deletes what it no longer has`() {
+        assertNull(empty.receive(owner(1, 5)).receive(headRevision = 9, complete = true).weight)
+    }
+
+    /** Guards against a service that came back from an old backup and would delete records in force. */
+    @Test
+    fun `a complete listing older than the records in force deletes nothing`() {
+        assertEquals(1, empty.receive(owner(1, 5)).receive(headRevision = 4, complete = true).weight)
+    }
+
+    /** Guards against a newer schema version that is guessed at or dropped. */
+    @Test
+    fun `an unknown version is kept whole and the last readable record stays in force`() {
+        val state = empty.receive(owner(1, 5)).receive(owner(3, 6, version = 99))
+
+        assertEquals(1, state.weight)
+        assertEquals(owner(3, 6, version = 99), state.config.stored["owner/barakah"])
+        assertEquals("schemaVersion '99' of kind 'owner' is not known here; allowed: 1", state.config.rejected["owner/barakah"])
+    }
+
+    /** Guards against a node whose watch went silent and which stays behind for good. */
+    @Test
+    fun `a peer with a higher revision is asked for its records once per interval`() {
+        val probe = ProbeReceived(ProbeMessage(NodeId("n2"), 1, leaving = false, configRevision = 12, suspects = emptyList()))
+        val first = reduce(empty, TimedEvent(1_000, 7, probe))
+        val second = reduce(first.state, TimedEvent(1_100, 7, probe))
+
+        assertEquals(listOf(FetchConfig(NodeId("n2"), 0)), first.effects.filterIsInstance<FetchConfig>())
+        assertEquals(emptyList(), second.effects.filterIsInstance<FetchConfig>())
+    }
+}
