Add failure detection and ownership of partitions

Cause: programs need one owner node each, at a cost to the key-value service that doesn't grow with programs, and safe when nodes pause or are cut off.

--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/membership/Rendezvous.kt
@@ -0,0 +1,48 @@
+package lavendertrail.membership
+
+import lavendertrail.model.NodeId
+import lavendertrail.model.PartitionId
+import kotlin.math.ceil
+
+/** No node is given more than this multiple of the mean number of partitions. */
+private const val MAX_LOAD_FACTOR = 1.25
+
+/**
+ * Assigns each of [partitions] to one of [nodes] by rendezvous hashing with bounded load. All nodes that agree on the
+ * live nodes compute the same owners, and a node that joins or leaves moves only about its own share.
+ */
+internal fun desiredOwners(
+    partitions: List<PartitionId>,
+    nodes: List<NodeId>,
+): Map<PartitionId, NodeId> {
+    if (nodes.isEmpty()) return emptyMap()
+    val maxLoad = ceil(MAX_LOAD_FACTOR * partitions.size / nodes.size).toInt()
+    val seeds = LongArray(nodes.size) { stableHash(nodes[it].value) }
+    val loads = IntArray(nodes.size)
+    return partitions.associateWith { partition ->
+        val chosen = seeds.indices.filter { loads[it] < maxLoad }.maxBy { mix(seeds[it] xor mix(partition.index.toLong())) }
+        loads[chosen]++
+        nodes[chosen]
+    }
+}
+
+/** Sorts nodes by preference for [partition]. */
+internal fun List<NodeRecord>.rankedFor(partition: PartitionId): List<NodeRecord> =
+    sortedByDescending { mix(stableHash(it.node.value) xor mix(partition.index.toLong() + JOURNAL_SALT)) }
+
+/** Keeps the ranking of journal nodes apart from that of owners. */
+private const val JOURNAL_SALT = 1_000_003L
+
+/** A hash that is the same in every process and release, other than [Any.hashCode]. */
+internal fun stableHash(text: String): Long = text.fold(FNV_OFFSET) { hash, char -> (hash xor char.code.toLong()) * FNV_PRIME }
+
+private const val FNV_OFFSET = -3_750_763_034_362_895_579L
+private const val FNV_PRIME = 1_099_511_628_211L
+
+/** The finalizer of splitmix64. */
+internal fun mix(value: Long): Long {
+    var mixed = value + -7_046_029_254_386_353_131L
+    mixed = (mixed xor (mixed ushr 30)) * -4_658_895_280_553_007_687L
+    mixed = (mixed xor (mixed ushr 27)) * -7_723_592_293_110_705_685L
+    return mixed xor (mixed ushr 31)
+}
--- a/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
@@ -5,6 +5,7 @@
 import lavendertrail.model.CallId
 import lavendertrail.model.CallRequest
 import lavendertrail.model.CallResult
+import lavendertrail.model.NodeId
 import lavendertrail.model.PartitionId
 import lavendertrail.model.ProgramId
 import lavendertrail.model.ProgramSpec
@@ -75,7 +76,10 @@
     public val appendId: Long,
 ) : Event
 
-/** An append didn't reach both copies. [fenced] is true where a journal node has seen a higher epoch. */
+/**
+ * An append didn't reach both copies. [fenced] is true where a journal node has seen a higher epoch; otherwise
+ * [journalNode] is the one that failed, and the append is still being tried.
+ */
 @Serializable
 public data class HistoryAppendFailed(
     public val partition: PartitionId,
@@ -83,6 +87,7 @@
     public val appendId: Long,
     public val fenced: Boolean,
     public val message: String,
+    public val journalNode: NodeId? = null,
 ) : Event
 
 /** Appends [records] to the partition's journal, in the order of the appends. */
