--- a/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
@@ -1,28 +1,73 @@
 package lavendertrail.http
 
+import org.apache.hc.client5.http.ConnectTimeoutException
+import org.apache.hc.client5.http.HttpHostConnectException
 import org.apache.hc.client5.http.config.ConnectionConfig
 import org.apache.hc.client5.http.config.RequestConfig
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient
 import org.apache.hc.client5.http.impl.classic.HttpClients
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder
+import org.apache.hc.client5.http.protocol.HttpClientContext
+import org.apache.hc.core5.http.ClassicHttpRequest
+import org.apache.hc.core5.http.ClassicHttpResponse
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException
+import org.apache.hc.core5.http.HttpException
+import org.apache.hc.core5.http.HttpHost
 import org.apache.hc.core5.http.io.SocketConfig
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy
 import org.apache.hc.core5.util.TimeValue
 import org.apache.hc.core5.util.Timeout
-import org.http4k.client.ApacheClient
-import org.http4k.core.BodyMode
+import org.http4k.core.Body
 import org.http4k.core.HttpHandler
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.io.IOException
+import java.net.SocketTimeoutException
+import java.net.UnknownHostException
 
-/** Time limits of a client. [idleMillis] is the longest time without a byte from the server. */
+/**
+ * Time limits of a client. [idleMillis] is the longest time without a byte from the server. With [reuseConnections]
+ * false each request opens a connection of its own. A pooled connection that was unused for [validateAfterMillis] is
+ * checked before use, which takes about 1 ms.
+ */
 public data class HttpClientLimits(
     public val connectMillis: Long = 1_000,
     public val idleMillis: Long = 30_000,
-    public val maxConnections: Int = 1_024,
+    public val maxConnections: Int = 4_096,
+    public val validateAfterMillis: Long = 1_000,
+    public val reuseConnections: Boolean = true,
 )
 
-/** An http4k client whose response bodies are streams; each must be closed. This is the one place that names the client library. */
+/** Name of a request header that [httpClient] takes as this request's idle limit and doesn't send. */
+private const val IDLE_LIMIT_HEADER = "x-lavendertrail-idle-limit-millis"
+
+/** Limits the time without a byte from the server for this one request. */
+public fun Request.withIdleLimit(millis: Long): Request = replaceHeader(IDLE_LIMIT_HEADER, millis.coerceAtLeast(1).toString())
+
+/**
+ * An http4k client whose response bodies are streams; each must be closed. Closing a body before its end closes the
+ * connection at once, also while another thread reads from it. A request is never sent twice; one that gets no answer
+ * ends in an [HttpCallException]. This is the one place that names the client library.
+ */
 public fun httpClient(limits: HttpClientLimits = HttpClientLimits()): HttpHandler {
+    val client = apacheClient(limits)
+    val defaultConfig = requestConfig(limits, limits.idleMillis)
+    return { request ->
+        val idleMillis = request.header(IDLE_LIMIT_HEADER)?.toLong()
+        val context = HttpClientContext.create()
+        context.requestConfig = if (idleMillis == null) defaultConfig else requestConfig(limits, idleMillis)
+        client.open(request, context).toResponse()
+    }
+}
+
+private fun apacheClient(limits: HttpClientLimits): CloseableHttpClient {
     val connections =
         PoolingHttpClientConnectionManagerBuilder
             .create()
+            .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setMaxConnTotal(limits.maxConnections)
             .setMaxConnPerRoute(limits.maxConnections)
             .setDefaultSocketConfig(
@@ -36,17 +81,76 @@
                     .custom()
                     .setConnectTimeout(Timeout.ofMilliseconds(limits.connectMillis))
                     .setSocketTimeout(Timeout.ofMilliseconds(limits.idleMillis))
-                    .setValidateAfterInactivity(TimeValue.ofSeconds(1))
+                    .setValidateAfterInactivity(TimeValue.ofMilliseconds(limits.validateAfterMillis))
                     .build(),
             ).build()
-    val client =
+    val builder =
         HttpClients
             .custom()
             .setConnectionManager(connections)
             .disableAutomaticRetries()
             .disableRedirectHandling()
             .disableCookieManagement()
-            .setDefaultRequestConfig(RequestConfig.custom().setResponseTimeout(Timeout.ofMilliseconds(limits.idleMillis)).build())
-            .build()
-    return ApacheClient(client, responseBodyMode = BodyMode.Stream)
+            .disableAuthCaching()
+            .disableContentCompression()
+    if (!limits.reuseConnections) builder.setConnectionReuseStrategy { _, _, _ -> false }
+    return builder.build()
+}
+
+private fun requestConfig(
+    limits: HttpClientLimits,
+    idleMillis: Long,
+): RequestConfig =
+    RequestConfig
+        .custom()
+        .setConnectionRequestTimeout(Timeout.ofMilliseconds(limits.connectMillis))
+        .setResponseTimeout(Timeout.ofMilliseconds(idleMillis))
+        .build()
+
+private fun CloseableHttpClient.open(
+    request: Request,
+    context: HttpClientContext,
+): ClassicHttpResponse {
+    val target = "${request.uri.host}:${request.uri.port}"
+    return try {
+        executeOpen(HttpHost.create(java.net.URI.create(request.uri.toString())), request.toApache(), context)
+    } catch (e: IOException) {
+        throw e.toCallException(target)
+    } catch (e: HttpException) {
+        throw HttpCallException("$target gave no valid HTTP answer: ${e.message}", e, sent = true, timedOut = false)
+    }
+}
+
+/** Only errors of the connection phase show that nothing was sent. */
+private fun IOException.toCallException(target: String): HttpCallException =
+    when (this) {
+        is ConnectTimeoutException -> HttpCallException("connecting to $target timed out", this, sent = false, timedOut = true)
+        is HttpHostConnectException -> HttpCallException("$target refused the connection", this, sent = false, timedOut = false)
+        is UnknownHostException -> HttpCallException("host of $target is unknown", this, sent = false, timedOut = false)
+        is ConnectionRequestTimeoutException ->
+            HttpCallException("no free connection to $target", this, sent = false, timedOut = true)
+        is SocketTimeoutException -> HttpCallException("$target sent nothing within the idle limit", this, sent = true, timedOut = true)
+        else -> HttpCallException("connection to $target broke: $message", this, sent = true, timedOut = false)
+    }
+
+private fun Request.toApache(): ClassicHttpRequest {
+    val builder = ClassicRequestBuilder.create(method.name).setUri(uri.toString())
+    headers.forEach { (name, value) ->
+        if (!name.equals("content-length", ignoreCase = true) && name != IDLE_LIMIT_HEADER) builder.addHeader(name, value)
+    }
+    val payload = body.payload
+    if (payload.hasRemaining()) {
+        builder.entity = ByteArrayEntity(payload.array(), payload.arrayOffset() + payload.position(), payload.remaining(), null)
+    }
+    return builder.build()
+}
+
+private fun ClassicHttpResponse.toResponse(): Response {
+    val content = entity?.content
+    val bare = Response(Status(code, reasonPhrase)).headers(headers.map { it.name to it.value })
+    if (content == null) {
+        close()
+        return bare
+    }
+    return bare.body(Body(ResponseStream(content, this), entity.contentLength.takeIf { it >= 0 }))
 }
--- a/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
@@ -3,18 +3,25 @@
 import io.undertow.Undertow
 import io.undertow.UndertowOptions
 import io.undertow.server.HttpServerExchange
+import io.undertow.server.ServerConnection
 import io.undertow.util.HttpString
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
+import org.http4k.core.MemoryBody
 import org.http4k.core.MemoryRequest
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
-import org.http4k.core.Uri
+import org.http4k.core.Status
+import org.tinylog.kotlin.Logger
+import org.xnio.IoUtils
+import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import java.util.concurrent.ConcurrentHashMap
 
-/** A running HTTP server. [stop] waits for nothing; callers drain before. */
+/** A running HTTP server. [stop] closes all connections and waits for nothing; callers drain before. */
 public interface HttpServer : AutoCloseable {
     public val port: Int
 
@@ -23,16 +30,20 @@
     override fun close(): Unit = stop()
 }
 
-/** Limits that hold for every request. */
+/** Limits that hold for every request. Worker threads run the handlers; [ChunkStream] bodies are sent without one. */
 public data class HttpServerLimits(
     public val maxBodyBytes: Long = 8L * 1024 * 1024,
     public val maxHeaderBytes: Int = 32 * 1024,
     public val readTimeoutMillis: Int = 30_000,
     public val workerThreads: Int = 320,
+    public val ioThreads: Int = 2,
 )
 
 private const val COPY_BUFFER_BYTES = 8 * 1024
 
+/** Undertow waits this long for running handlers when it stops; its default of 10 s would delay a replaced server. */
+private const val STOP_TIMEOUT_MILLIS = 200
+
 /**
  * Starts an HTTP server for [handler]. This is the one place that names the server library. Body streams are flushed
  * after each read, so that events reach the client as they are produced.
@@ -42,48 +53,118 @@
     limits: HttpServerLimits = HttpServerLimits(),
     handler: HttpHandler,
 ): HttpServer {
+    val connections = ConcurrentHashMap.newKeySet<ServerConnection>()
     val undertow =
         Undertow
             .builder()
             .addHttpListener(binding.port, binding.ip)
             .setWorkerThreads(limits.workerThreads)
-            .setIoThreads(2)
+            .setIoThreads(limits.ioThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.readTimeoutMillis)
+            .setServerOption(UndertowOptions.SHUTDOWN_TIMEOUT, STOP_TIMEOUT_MILLIS)
             .setSocketOption(org.xnio.Options.READ_TIMEOUT, limits.readTimeoutMillis)
             .setSocketOption(org.xnio.Options.TCP_NODELAY, true)
-            .setHandler { exchange -> exchange.dispatch(Runnable { exchange.serve(handler) }) }
-            .build()
+            .setHandler { exchange ->
+                connections.track(exchange.connection)
+                exchange.receive(handler)
+            }.build()
     undertow.start()
     return object : HttpServer {
         override val port: Int = (undertow.listenerInfo.first().address as InetSocketAddress).port
 
-        override fun stop() = undertow.stop()
+        override fun stop() {
+            connections.forEach { IoUtils.safeClose(it) }
+            undertow.stop()
+            connections.forEach { IoUtils.safeClose(it) }
+        }
     }
 }
 
-private fun HttpServerExchange.serve(handler: HttpHandler) {
-    startBlocking()
+private fun MutableSet<ServerConnection>.track(connection: ServerConnection) {
+    if (add(connection)) connection.addCloseListener { remove(it) }
+}
+
+/** Reads the body in the I/O thread, so that a slow sender occupies no worker thread. */
+private fun HttpServerExchange.receive(handler: HttpHandler) {
     val method = Method.entries.find { it.name == requestMethod.toString() }
-    val response = if (method == null) Response(org.http4k.core.Status.METHOD_NOT_ALLOWED) else handler(toRequest(method))
-    response.use { send(it) }
+    if (method == null) {
+        statusCode = Status.METHOD_NOT_ALLOWED.code
+        endExchange()
+        return
+    }
+    requestReceiver.receiveFullBytes(
+        { exchange, bytes -> exchange.dispatch(Runnable { exchange.answer(handler, method, bytes) }) },
+        { exchange, error -> exchange.rejectBody(error) },
+    )
+}
+
+private fun HttpServerExchange.rejectBody(error: IOException) {
+    Logger.debug { "http: request body could not be read: ${error.message}" }
+    statusCode = Status.REQUEST_ENTITY_TOO_LARGE.code
     endExchange()
 }
 
-private fun HttpServerExchange.toRequest(method: Method): Request {
+private fun HttpServerExchange.answer(
+    handler: HttpHandler,
+    method: Method,
+    bytes: ByteArray,
+) {
+    val response =
+        try {
+            handler(toRequest(method, bytes))
+        } catch (e: Exception) {
+            Logger.error(e) { "http: handler of $requestMethod $requestPath failed" }
+            Response(Status.INTERNAL_SERVER_ERROR)
+        }
+    try {
+        send(response)
+    } catch (e: IOException) {
+        Logger.debug { "http: answer to $requestMethod $requestPath could not be sent: ${e.message}" }
+        IoUtils.safeClose(connection)
+    }
+}
+
+private fun HttpServerExchange.toRequest(
+    method: Method,
+    bytes: ByteArray,
+): Request {
     val query = if (queryString.isNullOrEmpty()) "" else "?$queryString"
     val headers = requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
-    val body = Body(inputStream, requestContentLength.takeIf { it >= 0 })
-    return MemoryRequest(method, Uri.of(requestPath + query), headers, body)
+    return MemoryRequest(
+        method,
+        org.http4k.core.Uri
+            .of(requestPath + query),
+        headers,
+        MemoryBody(ByteBuffer.wrap(bytes)),
+    )
 }
 
 private fun HttpServerExchange.send(response: Response) {
     statusCode = response.status.code
-    response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
-    val length = response.body.length
-    if (length != null) responseContentLength = length
-    response.body.stream.copyFlushing(this)
+    response.headers.forEach { (name, value) ->
+        if (!name.equals("content-length", ignoreCase = true)) responseHeaders.add(HttpString(name), value.orEmpty())
+    }
+    val body = response.body
+    if (body is MemoryBody) {
+        responseSender.send(body.payload.duplicate())
+        return
+    }
+    when (val stream = body.stream) {
+        is ChunkStream -> ChunkPump(this, stream).start()
+        else -> response.use { copyBlocking(stream, body) }
+    }
+}
+
+private fun HttpServerExchange.copyBlocking(
+    stream: InputStream,
+    body: Body,
+) {
+    body.length?.let { responseContentLength = it }
+    startBlocking()
+    stream.copyFlushing(this)
+    endExchange()
 }
 
 private fun InputStream.copyFlushing(exchange: HttpServerExchange) {
--- /dev/null
+++ b/ports/src/main/kotlin/lavendertrail/http/ResponseStream.kt
@@ -0,0 +1,29 @@
+package lavendertrail.http
+
+import java.io.Closeable
+import java.io.FilterInputStream
+import java.io.InputStream
+
+/**
+ * The body of a response. At its end the connection goes back to the pool; closed earlier, [response] is closed, which
+ * cuts the connection instead of reading the rest.
+ */
+internal class ResponseStream(
+    content: InputStream,
+    private val response: Closeable,
+) : FilterInputStream(content) {
+    @Volatile
+    private var atEnd = false
+
+    override fun read(): Int = super.read().also { if (it < 0) atEnd = true }
+
+    override fun read(
+        buffer: ByteArray,
+        start: Int,
+        length: Int,
+    ): Int = super.read(buffer, start, length).also { if (it < 0) atEnd = true }
+
+    override fun close() {
+        if (!atEnd) response.close()
+    }
+}
