--- a/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
@@ -14,8 +14,12 @@
 )
 
 /**
- * Appends [entries] to the copy of [partition]. With [truncateTo] the copy is first cut to that length, which a new
- * owner does to a copy whose tail differs; with [create] a copy that doesn't exist is created.
+ * Appends [entries] to the copy of [partition]. A plain append needs a copy that is sealed at exactly [epoch] and
+ * [attempt]. Entries that the copy already holds are skipped, so an append can be repeated.
+ *
+ * With [truncateTo] the copy is first cut to that length, which a new owner does to a copy whose tail differs; a copy
+ * that doesn't reach to that index, or that starts after it, is emptied and starts there. With [create] a copy that
+ * doesn't exist is created. Such a copy counts as incomplete until a [JournalSeal.completeAt] confirms it.
  */
 @Serializable
 public data class JournalAppend(
@@ -24,13 +28,20 @@
     public val entries: List<JournalEntry>,
     public val truncateTo: Long? = null,
     public val create: Boolean = false,
+    public val attempt: Long = 0,
 )
 
-/** Makes the copy reject every append of an epoch below [epoch]. */
+/**
+ * Makes the copy reject every append of an epoch below [epoch], and of a lower [attempt] in the same epoch. [attempt]
+ * numbers the recoveries that one owner runs in one epoch, so that a delayed request of an earlier one can't cut
+ * entries that were acknowledged since. With [completeAt] the copy is marked complete if it has exactly that length.
+ */
 @Serializable
 public data class JournalSeal(
     public val partition: PartitionId,
     public val epoch: Long,
+    public val attempt: Long = 0,
+    public val completeAt: Long? = null,
 )
 
 @Serializable
@@ -40,22 +51,37 @@
     public val maxBytes: Int,
 )
 
-/** Entries from the index asked for; [nextIndex] is the length of the copy. */
+/** Entries from the index asked for; the copy holds [firstIndex] until before [nextIndex]. */
 @Serializable
 public data class JournalPage(
     public val entries: List<JournalEntry>,
     public val nextIndex: Long,
     public val error: String? = null,
+    public val firstIndex: Long = 0,
+)
+
+/** Lets the copy remove whole segments that hold only entries below [beforeIndex]. */
+@Serializable
+public data class JournalReclaim(
+    public val partition: PartitionId,
+    public val epoch: Long,
+    public val attempt: Long = 0,
+    public val beforeIndex: Long,
 )
 
 /** What a journal node answers to an append or a seal. */
 @Serializable
 public sealed interface JournalAnswer {
+    /**
+     * [complete] is false where the copy may lack entries that it once accepted: it is being refilled, or its host lost
+     * power before the last flush.
+     */
     @Serializable
     @SerialName("accepted")
     public data class Accepted(
         public val nextIndex: Long,
         public val lastEpoch: Long,
+        public val complete: Boolean = true,
     ) : JournalAnswer
 
     /** The copy is sealed at [sealedEpoch], above the epoch of the request. */
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/journal/MemoryJournalStore.kt
@@ -0,0 +1,80 @@
+package lavendertrail.journal
+
+import lavendertrail.model.PartitionId
+import java.util.concurrent.ConcurrentHashMap
+
+/** A store whose copies are gone with the process: for tests and for a development cluster in one process. */
+public fun memoryJournalStore(): JournalStore = MemoryJournalStore()
+
+private class MemoryJournalStore : JournalStore {
+    private val copies = ConcurrentHashMap<PartitionId, JournalCopy>()
+
+    override fun append(request: JournalAppend): JournalAnswer {
+        val copy = if (request.create) copies.computeIfAbsent(request.partition) { newCopy(request) } else copies[request.partition]
+        return copy?.append(request) ?: JournalAnswer.Unknown
+    }
+
+    override fun seal(request: JournalSeal) = copies[request.partition]?.seal(request) ?: JournalAnswer.Unknown
+
+    override fun read(request: JournalRead) = copies[request.partition]?.read(request) ?: unknownPage()
+
+    override fun reclaim(request: JournalReclaim) = copies[request.partition]?.reclaim(request) ?: JournalAnswer.Unknown
+
+    override fun copies() = copies.map { (partition, copy) -> copy.status(partition) }.sortedBy { it.partition }
+
+    override fun close() = Unit
+
+    private fun newCopy(request: JournalAppend) = JournalCopy(MemoryCopyStorage(request.initialState()))
+}
+
+/** The state of a copy that [this] append creates. */
+internal fun JournalAppend.initialState() = CopyState(epoch, attempt, complete = false, startIndex = truncateTo ?: 0)
+
+internal fun unknownPage() = JournalPage(emptyList(), nextIndex = 0, error = UNKNOWN_COPY)
+
+internal const val UNKNOWN_COPY = "this node holds no copy of the partition"
+
+private class MemoryCopyStorage(
+    override var state: CopyState,
+) : CopyStorage {
+    private val entries = ArrayDeque<JournalEntry>()
+    override var firstIndex = state.startIndex
+    override val nextIndex get() = firstIndex + entries.size
+    override val lastEpoch get() = entries.lastOrNull()?.epoch ?: 0
+    override val damage: CopyDamage? = null
+
+    override fun read(
+        fromIndex: Long,
+        maxBytes: Int,
+    ): List<JournalEntry> {
+        var bytes = 0
+        return entries.drop((fromIndex - firstIndex).toInt()).takeWhile { entry ->
+            (bytes == 0 || bytes < maxBytes).also { bytes += encodeEntry(entry).size }
+        }
+    }
+
+    override fun write(entries: List<JournalEntry>) {
+        this.entries += entries
+    }
+
+    override fun truncate(to: Long) = repeat((nextIndex - to).toInt()) { entries.removeLast() }
+
+    override fun restart(at: Long) {
+        entries.clear()
+        firstIndex = at
+    }
+
+    override fun save(state: CopyState) {
+        this.state = state
+    }
+
+    override fun flush() = Unit
+
+    override fun reclaim(beforeIndex: Long) {
+        // The last entry stays, because its epoch decides between copies.
+        while (firstIndex < beforeIndex && entries.size > 1) {
+            entries.removeFirst()
+            firstIndex++
+        }
+    }
+}
--- a/node/src/main/kotlin/lavendertrail/peer/PeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/peer/PeerService.kt
@@ -1,9 +1,11 @@
 package lavendertrail.peer
 
+import kotlinx.serialization.Serializable
 import lavendertrail.journal.JournalAnswer
 import lavendertrail.journal.JournalAppend
 import lavendertrail.journal.JournalPage
 import lavendertrail.journal.JournalRead
+import lavendertrail.journal.JournalReclaim
 import lavendertrail.journal.JournalSeal
 import lavendertrail.membership.ProbeMessage
 import lavendertrail.model.NodeId
@@ -27,6 +29,8 @@
 
     public fun readJournal(request: JournalRead): JournalPage
 
+    public fun reclaimJournal(request: JournalReclaim): JournalAnswer
+
     public fun fetchConfig(afterRevision: Long): ConfigPage
 
     public fun offerHandover(
@@ -38,7 +42,7 @@
 }
 
 /** Configuration records with a revision above the one asked for, and the highest revision that the peer knows. */
-@kotlinx.serialization.Serializable
+@Serializable
 public data class ConfigPage(
     public val records: List<StoredRecord>,
     public val headRevision: Long,
