--- a/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
@@ -165,7 +165,8 @@
 
 /**
  * Sends one attempt of a call to [server]. With [resume] a model engine continues a stream that it already has, and a
- * tool service is only asked for the state of the call with [key].
+ * tool service is only asked for the state of the call with [key]. [promptChain] is that of the [DispatchCall]; engines
+ * name cached prefixes by its hashes.
  */
 public data class StartAttempt(
     public val call: CallId,
@@ -177,6 +178,7 @@
     public val deadlineMillis: Long,
     public val resume: Boolean,
     public val pinMillis: Long,
+    public val promptChain: List<PromptPrefix> = emptyList(),
 ) : Effect
 
 public data class CancelAttempt(
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/AttemptExecutor.kt
@@ -0,0 +1,170 @@
+package lavendertrail.node
+
+import com.github.michaelbull.result.fold
+import lavendertrail.model.CallBody
+import lavendertrail.model.StepError
+import lavendertrail.model.ToolId
+import lavendertrail.model.Usage
+import lavendertrail.ports.AttemptError
+import lavendertrail.ports.GenerateRequest
+import lavendertrail.ports.Generated
+import lavendertrail.ports.ModelEngine
+import lavendertrail.ports.ToolRequest
+import lavendertrail.ports.ToolService
+import lavendertrail.reducer.AttemptFailure
+import lavendertrail.reducer.CallAttemptFailed
+import lavendertrail.reducer.CallCompleted
+import lavendertrail.reducer.CallFirstToken
+import lavendertrail.reducer.CancelAttempt
+import lavendertrail.reducer.Event
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.StartAttempt
+
+/** Sends attempts to model engines and tool services. Each attempt ends in [CallCompleted] or [CallAttemptFailed]. */
+internal class AttemptExecutor(
+    private val backends: BackendPool,
+    private val hub: StreamHub,
+    private val background: Background,
+    private val state: () -> NodeState,
+    private val emit: (Event) -> Unit,
+    private val clock: () -> Long = System::currentTimeMillis,
+) {
+    /** Makes room for the text of the attempt, so that callers can be attached before it is sent. */
+    fun begin(effect: StartAttempt) {
+        if (effect.body is CallBody.ModelCall) hub.begin(effect.call, effect.attempt)
+    }
+
+    fun start(effect: StartAttempt) {
+        background.run("attempt of ${effect.call}") {
+            val event =
+                try {
+                    run(effect)
+                } catch (fault: RuntimeException) {
+                    // The request may have left before the fault, so that it can't be reported as rejected.
+                    effect.failed(AttemptFailure.CONNECTION_LOST, "attempt failed: $fault")
+                }
+            hub.attemptEnded(effect.call)
+            emit(event)
+        }
+    }
+
+    fun cancel(effect: CancelAttempt): Unit =
+        background.run("cancel of ${effect.call}") {
+            backends.engineOrNull(effect)?.cancel(effect.call)
+        }
+
+    private fun run(effect: StartAttempt): Event =
+        when (val body = effect.body) {
+            is CallBody.ModelCall -> {
+                val engine = backends.engine(effect.server, used = true)
+                if (engine == null) effect.unknownServer() else generate(effect, body, engine)
+            }
+
+            is CallBody.ToolCall -> {
+                val service = backends.tool(effect.server)
+                if (service == null) effect.unknownServer() else callTool(effect, body, service)
+            }
+
+            is CallBody.ToolResult -> effect.failed(AttemptFailure.REJECTED, "a tool result is recorded and not sent")
+        }
+
+    private fun generate(
+        effect: StartAttempt,
+        body: CallBody.ModelCall,
+        engine: ModelEngine,
+    ): Event {
+        val text = StringBuilder()
+        val answer =
+            engine.generate(effect.toGenerateRequest(body)) { chunk ->
+                if (text.isEmpty()) emit(CallFirstToken(effect.call, effect.attempt))
+                text.append(chunk)
+                hub.append(effect.call, effect.attempt, chunk)
+            }
+        return answer.fold(
+            { CallCompleted(effect.call, effect.attempt, text.toString(), body.priced(it.usage()), it.load) },
+            { effect.failed(it, body.priced(it.usage())) },
+        )
+    }
+
+    private fun StartAttempt.toGenerateRequest(body: CallBody.ModelCall): GenerateRequest =
+        GenerateRequest(
+            call = call,
+            attempt = attempt,
+            model = body.model,
+            messages = body.messages,
+            chainHashes = promptChain.map { it.chainHash },
+            maxTokens = body.maxTokens,
+            temperature = body.temperature,
+            priority = priority,
+            deadlineMillis = deadlineMillis,
+            idleLimitMillis = state().settings.dispatch.streamIdleMillis,
+            resume = resume,
+            pinMillis = pinMillis,
+        )
+
+    private fun CallBody.ModelCall.priced(usage: Usage): Usage = state().config.models[model]?.priced(usage) ?: usage
+
+    private fun callTool(
+        effect: StartAttempt,
+        body: CallBody.ToolCall,
+        service: ToolService,
+    ): Event {
+        if (effect.resume) return resumeTool(effect, body.tool, service)
+        val record = state().config.tools[body.tool]
+        val leftMillis = effect.deadlineMillis - clock()
+        if (leftMillis <= 0) return effect.failed(AttemptFailure.REJECTED, "deadline passed before the call was sent")
+        val timeoutMillis = minOf(record?.timeoutMillis ?: leftMillis, leftMillis)
+        return service.call(ToolRequest(body.tool, effect.key, body.arguments, timeoutMillis)).fold(
+            { CallCompleted(effect.call, effect.attempt, it, toolUsage(body.tool)) },
+            { effect.failed(it, null) },
+        )
+    }
+
+    /** Asks for the state of a call that may have run, until it is done or the deadline passes. The call isn't sent. */
+    private fun resumeTool(
+        effect: StartAttempt,
+        tool: ToolId,
+        service: ToolService,
+    ): Event {
+        val key = effect.key ?: return effect.failed(AttemptFailure.UNKNOWN_STREAM, "call has no key to ask for")
+        var last = ""
+        do {
+            service.status(key).fold(
+                { status ->
+                    if (status == null) return effect.failed(AttemptFailure.UNKNOWN_STREAM, "service has not seen key '$key'")
+                    if (status.done) return CallCompleted(effect.call, effect.attempt, status.answer.orEmpty(), toolUsage(tool))
+                    last = "call with key '$key' still runs"
+                },
+                { error: StepError -> last = error.toString() },
+            )
+            Thread.sleep(STATUS_POLL_MILLIS)
+        } while (clock() < effect.deadlineMillis)
+        return effect.failed(AttemptFailure.DEADLINE, last)
+    }
+
+    private fun toolUsage(tool: ToolId): Usage = Usage(toolCalls = 1, costMicros = state().config.tools[tool]?.costMicros ?: 0)
+
+    private companion object {
+        const val STATUS_POLL_MILLIS = 250L
+    }
+}
+
+private fun BackendPool.engineOrNull(effect: CancelAttempt): ModelEngine? =
+    if (effect.server in recentEngines(Long.MAX_VALUE)) engine(effect.server) else null
+
+private fun Generated.usage(): Usage =
+    Usage(promptTokens = promptTokens, cachedTokens = cachedTokens, generatedTokens = generatedTokens, engineMillis = engineMillis)
+
+private fun AttemptError.usage(): Usage = Usage(promptTokens = promptTokens, cachedTokens = cachedTokens, generatedTokens = generatedTokens)
+
+private fun StartAttempt.unknownServer(): Event = failed(AttemptFailure.REJECTED, "no record names server '$server'")
+
+private fun StartAttempt.failed(
+    failure: AttemptFailure,
+    message: String,
+): Event = CallAttemptFailed(call, attempt, failure, message)
+
+private fun StartAttempt.failed(
+    error: AttemptError,
+    usage: Usage?,
+): Event = CallAttemptFailed(call, attempt, error.failure, error.error.toString(), usage)
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/Effects.kt
@@ -0,0 +1,85 @@
+package lavendertrail.node
+
+import lavendertrail.reducer.AnswerCall
+import lavendertrail.reducer.AnswerEnded
+import lavendertrail.reducer.AnswerHistory
+import lavendertrail.reducer.AnswerOpened
+import lavendertrail.reducer.AppendHistory
+import lavendertrail.reducer.AttachStream
+import lavendertrail.reducer.CancelAttempt
+import lavendertrail.reducer.Effect
+import lavendertrail.reducer.FetchConfig
+import lavendertrail.reducer.FindStream
+import lavendertrail.reducer.ListPins
+import lavendertrail.reducer.OfferHandover
+import lavendertrail.reducer.OrderModel
+import lavendertrail.reducer.PinCache
+import lavendertrail.reducer.PollLoad
+import lavendertrail.reducer.ReadPartition
+import lavendertrail.reducer.RecoverPartition
+import lavendertrail.reducer.RefuseRequest
+import lavendertrail.reducer.ReleaseCache
+import lavendertrail.reducer.SaveConfig
+import lavendertrail.reducer.SavePoisonMark
+import lavendertrail.reducer.SendProbe
+import lavendertrail.reducer.ShutdownReady
+import lavendertrail.reducer.StartAttempt
+import lavendertrail.reducer.SwapPartition
+import lavendertrail.reducer.TransferCache
+
+/** Executes what the journal is asked for; both calls return at once. */
+internal interface JournalEffects {
+    fun append(effect: AppendHistory)
+
+    fun recover(effect: RecoverPartition)
+}
+
+/** Hands each effect of a step to the part of the node that executes it. Runs on the runner's thread and never blocks. */
+internal class Effects(
+    private val owner: LocalOwner,
+    private val attempts: AttemptExecutor,
+    private val engines: EngineCommands,
+    private val records: ServiceRecords,
+    private val peers: PeerCommands,
+    private val journal: JournalEffects,
+    private val saveConfig: (SaveConfig) -> Unit,
+    private val onShutdownReady: () -> Unit,
+) {
+    fun execute(effects: List<Effect>): Unit = effects.forEach(::execute)
+
+    private fun execute(effect: Effect): Unit =
+        when (effect) {
+            is AppendHistory -> journal.append(effect)
+            is RecoverPartition -> journal.recover(effect)
+            is AnswerOpened -> owner.answer(effect)
+            is AnswerCall -> owner.answer(effect)
+            is AnswerEnded -> owner.answer(effect)
+            is AnswerHistory -> owner.answer(effect)
+            is AttachStream -> owner.attach(effect)
+            is RefuseRequest -> owner.refuse(effect)
+            is StartAttempt -> start(effect)
+            is CancelAttempt -> attempts.cancel(effect)
+            is FindStream -> engines.find(effect)
+            is ReleaseCache -> engines.release(effect)
+            is TransferCache -> engines.transfer(effect)
+            is PinCache -> engines.pin(effect)
+            is PollLoad -> engines.poll(effect)
+            is ListPins -> engines.listPins(effect)
+            is OrderModel -> engines.order(effect)
+            is SavePoisonMark -> records.savePoisonMark(effect)
+            is SwapPartition -> records.swap(effect)
+            is ReadPartition -> records.read(effect)
+            is SendProbe -> peers.probe(effect)
+            is OfferHandover -> peers.offer(effect)
+            is FetchConfig -> peers.fetch(effect)
+            is SaveConfig -> saveConfig(effect)
+            ShutdownReady -> onShutdownReady()
+        }
+
+    /** The waiting callers are attached before the first byte can arrive. */
+    private fun start(effect: StartAttempt) {
+        attempts.begin(effect)
+        owner.attachWaiting(effect.call, effect.body)
+        attempts.start(effect)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/EventRecorder.kt
@@ -0,0 +1,91 @@
+package lavendertrail.node
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import lavendertrail.history.sha256Hex
+import lavendertrail.membership.NodeRecord
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.ReducerSettings
+import lavendertrail.reducer.TimedEvent
+import lavendertrail.reducer.reduce
+import java.io.BufferedWriter
+import java.io.File
+
+/** First line of an event log: what the state is built from before the first event. */
+@Serializable
+internal data class EventLogHead(
+    val self: NodeRecord,
+    val settings: ReducerSettings,
+)
+
+/** Last line of an event log of a process that ended in order. */
+@Serializable
+internal data class EventLogEnd(
+    val events: Long,
+    val stateSha256: String,
+)
+
+private const val END_PREFIX = "end "
+
+private val logJson = Json { encodeDefaults = true }
+
+/** Writes each [TimedEvent] as one JSON line, so that [replay] can decide again what the node decided. */
+internal class EventRecorder(
+    file: File,
+) {
+    private val writer: BufferedWriter = file.bufferedWriter()
+    private var events = 0L
+
+    fun begin(state: NodeState): Unit = line(logJson.encodeToString(EventLogHead(state.self, state.settings)))
+
+    fun record(timed: TimedEvent) {
+        events++
+        line(logJson.encodeToString(timed))
+    }
+
+    fun end(state: NodeState) {
+        line(END_PREFIX + logJson.encodeToString(EventLogEnd(events, state.digest())))
+        writer.close()
+    }
+
+    private fun line(text: String) {
+        writer.write(text)
+        writer.newLine()
+    }
+}
+
+/** Outcome of [replay]; [recorded] is null for a log without an end line, as a killed process leaves it. */
+internal data class Replay(
+    val state: NodeState,
+    val events: Long,
+    val recorded: EventLogEnd?,
+) {
+    val same: Boolean get() = recorded == null || (recorded.events == events && recorded.stateSha256 == state.digest())
+}
+
+/** Applies a recorded event log again. */
+internal fun replay(file: File): Replay =
+    file.useLines { lines ->
+        val iterator = lines.iterator()
+        require(iterator.hasNext()) { "event log '$file' is empty" }
+        val head = logJson.decodeFromString<EventLogHead>(iterator.next())
+        var state = NodeState(head.self, head.settings)
+        var events = 0L
+        var recorded: EventLogEnd? = null
+        while (iterator.hasNext()) {
+            val line = iterator.next()
+            if (line.startsWith(END_PREFIX)) {
+                recorded = logJson.decodeFromString<EventLogEnd>(line.removePrefix(END_PREFIX))
+            } else {
+                state = reduce(state, logJson.decodeFromString<TimedEvent>(line)).state
+                events++
+            }
+        }
+        Replay(state, events, recorded)
+    }
+
+/**
+ * Hash of the state's text. Persistent maps with enum keys order their entries by identity hash and would differ
+ * between processes; the sorted characters of the text don't depend on that order.
+ */
+internal fun NodeState.digest(): String = sha256Hex(toString().toCharArray().apply { sort() }.concatToString())
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -0,0 +1,84 @@
+package lavendertrail.node
+
+import lavendertrail.journal.JournalAnswer
+import lavendertrail.journal.JournalAppend
+import lavendertrail.journal.JournalPage
+import lavendertrail.journal.JournalRead
+import lavendertrail.journal.JournalSeal
+import lavendertrail.membership.ProbeMessage
+import lavendertrail.model.NodeId
+import lavendertrail.model.PartitionId
+import lavendertrail.peer.ConfigPage
+import lavendertrail.peer.PeerService
+import lavendertrail.peer.SubmitReply
+import lavendertrail.peer.SubmitRequest
+import lavendertrail.reducer.Event
+import lavendertrail.reducer.HandoverOffered
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.ProbeReceived
+
+/** This node's copies of journals; a node without a data folder has none. */
+internal interface JournalCopies {
+    fun append(request: JournalAppend): JournalAnswer
+
+    fun seal(request: JournalSeal): JournalAnswer
+
+    fun read(request: JournalRead): JournalPage
+}
+
+/** What other nodes ask of this one. */
+internal class LocalPeerService(
+    private val state: () -> NodeState,
+    private val owner: LocalOwner,
+    private val journal: JournalCopies?,
+    private val emit: (Event) -> Unit,
+    private val dumpState: () -> String,
+    private val clock: () -> Long = System::currentTimeMillis,
+) : PeerService {
+    override fun probe(message: ProbeMessage): ProbeMessage {
+        emit(ProbeReceived(message))
+        return state().probeAnswer()
+    }
+
+    override fun submit(
+        request: SubmitRequest,
+        onReply: (SubmitReply) -> Unit,
+    ) {
+        val deadlineMillis = (request as? SubmitRequest.Call)?.request?.deadlineMillis ?: (clock() + REQUEST_MILLIS)
+        owner.submit(request, deadlineMillis + GRACE_MILLIS - clock(), onReply)
+    }
+
+    override fun appendJournal(request: JournalAppend): JournalAnswer = journal?.append(request) ?: JournalAnswer.Unknown
+
+    override fun sealJournal(request: JournalSeal): JournalAnswer = journal?.seal(request) ?: JournalAnswer.Unknown
+
+    override fun readJournal(request: JournalRead): JournalPage =
+        journal?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
+
+    override fun fetchConfig(afterRevision: Long): ConfigPage {
+        val config = state().config
+        return ConfigPage(config.stored.values.filter { it.revision > afterRevision }, config.headRevision)
+    }
+
+    override fun offerHandover(
+        from: NodeId,
+        partitions: List<PartitionId>,
+    ): Unit = emit(HandoverOffered(from, partitions))
+
+    override fun dump(): String = dumpState()
+
+    private companion object {
+        const val REQUEST_MILLIS = 30_000L
+        const val GRACE_MILLIS = 2_000L
+    }
+}
+
+private fun NodeState.probeAnswer(): ProbeMessage =
+    ProbeMessage(
+        from = self.node,
+        incarnation = self.incarnation,
+        leaving = membership.shuttingDown,
+        configRevision = config.headRevision,
+        suspects = emptyList(),
+        nodeRecord = self,
+    )
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/PeerCommands.kt
@@ -0,0 +1,46 @@
+package lavendertrail.node
+
+import lavendertrail.model.NodeId
+import lavendertrail.peer.PeerService
+import lavendertrail.reducer.ConfigRecordsReceived
+import lavendertrail.reducer.Event
+import lavendertrail.reducer.FetchConfig
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.OfferHandover
+import lavendertrail.reducer.ProbeAnswered
+import lavendertrail.reducer.ProbeFailed
+import lavendertrail.reducer.SendProbe
+import org.tinylog.kotlin.Logger
+
+/** Probes, handovers and configuration fetches. Each ends in an event; what can't reach a peer ends in [ProbeFailed]. */
+internal class PeerCommands(
+    private val peers: Peers,
+    private val background: Background,
+    private val state: () -> NodeState,
+    private val emit: (Event) -> Unit,
+) {
+    fun probe(effect: SendProbe): Unit = ask("probe", effect.peer) { emit(ProbeAnswered(effect.peer, it.probe(effect.message))) }
+
+    fun offer(effect: OfferHandover): Unit = ask("handover", effect.peer) { it.offerHandover(state().self.node, effect.partitions) }
+
+    fun fetch(effect: FetchConfig): Unit =
+        ask("configuration fetch", effect.peer) {
+            val page = it.fetchConfig(effect.afterRevision)
+            emit(ConfigRecordsReceived(page.records, page.headRevision, "peer ${effect.peer}"))
+        }
+
+    private fun ask(
+        step: String,
+        peer: NodeId,
+        call: (PeerService) -> Unit,
+    ): Unit =
+        background.run("$step at $peer") {
+            try {
+                val service = peers.peer(peer)
+                if (service == null) emit(ProbeFailed(peer, "no record names node '$peer'")) else call(service)
+            } catch (error: RuntimeException) {
+                Logger.debug("peer: $step at $peer failed: $error")
+                emit(ProbeFailed(peer, "$step: $error"))
+            }
+        }
+}
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/Peers.kt
@@ -0,0 +1,50 @@
+package lavendertrail.node
+
+import lavendertrail.model.NodeId
+import lavendertrail.peer.PeerService
+import lavendertrail.reducer.NodeState
+import java.util.concurrent.ConcurrentHashMap
+
+/** Connections to other nodes by their records in force; a changed address gets a new connection. */
+internal class Peers(
+    private val state: () -> NodeState,
+    private val dial: (String) -> PeerService,
+) : AutoCloseable {
+    private class Connection(
+        val address: String,
+        val service: PeerService,
+    )
+
+    private val connections = ConcurrentHashMap<NodeId, Connection>()
+
+    /** Null where no record names [peer]. */
+    fun peer(peer: NodeId): PeerService? {
+        val address =
+            state()
+                .membership.nodes[peer]
+                ?.peerAddress ?: return null
+        val existing = connections[peer]
+        if (existing?.address == address) return existing.service
+        return connections
+            .compute(peer) { _, current ->
+                if (current?.address == address) {
+                    current
+                } else {
+                    current?.close()
+                    Connection(address, dial(address))
+                }
+            }?.service
+    }
+
+    /** Closes connections to nodes whose records are gone. */
+    fun sweep() {
+        val live = state().membership.nodes
+        connections.keys.filter { it !in live }.forEach { connections.remove(it)?.close() }
+    }
+
+    override fun close(): Unit = connections.values.forEach { it.close() }
+
+    private fun Connection.close() {
+        (service as? AutoCloseable)?.close()
+    }
+}
