--- a/core/src/main/kotlin/lavendertrail/membership/MembershipState.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/MembershipState.kt
@@ -28,7 +28,10 @@
     internal val announcedDead: Set<NodeId> = emptySet(),
     internal val shutdownSinceMillis: Long? = null,
     internal val shutdownReported: Boolean = false,
-)
+) {
+    /** The record of another node; null where it isn't known. */
+    public fun record(node: NodeId): NodeRecord? = peers[node]?.record
+}
 
 /** One observer's statement about one incarnation of a node. */
 public data class SuspicionKey(
--- a/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -4,8 +4,10 @@
 import lavendertrail.journal.JournalAppend
 import lavendertrail.journal.JournalPage
 import lavendertrail.journal.JournalRead
+import lavendertrail.journal.JournalReclaim
 import lavendertrail.journal.JournalSeal
 import lavendertrail.membership.ProbeMessage
+import lavendertrail.membership.probeMessage
 import lavendertrail.model.NodeId
 import lavendertrail.model.PartitionId
 import lavendertrail.peer.ConfigPage
@@ -24,6 +26,8 @@
     fun seal(request: JournalSeal): JournalAnswer
 
     fun read(request: JournalRead): JournalPage
+
+    fun reclaim(request: JournalReclaim): JournalAnswer
 }
 
 /** What other nodes ask of this one. */
@@ -37,7 +41,7 @@
 ) : PeerService {
     override fun probe(message: ProbeMessage): ProbeMessage {
         emit(ProbeReceived(message))
-        return state().probeAnswer()
+        return state().probeMessage(clock())
     }
 
     override fun submit(
@@ -55,6 +59,8 @@
     override fun readJournal(request: JournalRead): JournalPage =
         journal?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
 
+    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = journal?.reclaim(request) ?: JournalAnswer.Unknown
+
     override fun fetchConfig(afterRevision: Long): ConfigPage {
         val config = state().config
         return ConfigPage(config.stored.values.filter { it.revision > afterRevision }, config.headRevision)
@@ -72,13 +78,3 @@
         const val GRACE_MILLIS = 2_000L
     }
 }
-
-private fun NodeState.probeAnswer(): ProbeMessage =
-    ProbeMessage(
-        from = self.node,
-        incarnation = self.incarnation,
-        leaving = membership.shuttingDown,
-        configRevision = config.headRevision,
-        suspects = emptyList(),
-        nodeRecord = self,
-    )
--- a/node/src/main/kotlin/lavendertrail/node/Peers.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Peers.kt
@@ -19,10 +19,7 @@
 
     /** Null where no record names [peer]. */
     fun peer(peer: NodeId): PeerService? {
-        val address =
-            state()
-                .membership.nodes[peer]
-                ?.peerAddress ?: return null
+        val address = state().membership.record(peer)?.peerAddress ?: return null
         val existing = connections[peer]
         if (existing?.address == address) return existing.service
         return connections
@@ -38,7 +35,7 @@
 
     /** Closes connections to nodes whose records are gone. */
     fun sweep() {
-        val live = state().membership.nodes
+        val live = state().membership.peers
         connections.keys.filter { it !in live }.forEach { connections.remove(it)?.close() }
     }
 
