--- a/core/src/main/kotlin/lavendertrail/config/AssistantRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/config/AssistantRecord.kt
@@ -15,4 +15,5 @@
     public val serviceClass: ServiceClass,
     public val budget: Budget,
     public val helpers: List<String> = emptyList(),
+    public val budgetName: String? = null,
 )
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/config/BudgetRecord.kt
@@ -0,0 +1,16 @@
+package lavendertrail.config
+
+import kotlinx.serialization.Serializable
+import lavendertrail.model.Budget
+
+/** A budget that several assistants and kinds of programs share by its [name]. */
+@Serializable
+public data class BudgetRecord(
+    public val name: String,
+    public val maxTokens: Long,
+    public val maxCostMicros: Long,
+    public val maxTurns: Int,
+    public val maxWallMillis: Long,
+) {
+    public fun toBudget(): Budget = Budget(maxTokens, maxCostMicros, maxTurns, maxWallMillis)
+}
--- a/core/src/main/kotlin/lavendertrail/config/ConfigReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/config/ConfigReducer.kt
@@ -39,7 +39,7 @@
     val newer = (event.records + deletedBy(event)).filter { it.isNewerThan(config) }
     if (newer.isEmpty()) return Step(this)
     val applied =
-        newer.fold(config) { current, record -> current.apply(record) }.let {
+        newer.fold(config) { current, record -> current.apply(record) }.readRejectedAgain().let {
             it.copy(headRevision = maxOf(it.headRevision, newer.maxOf(StoredRecord::revision)), appliedAtMillis = nowMillis)
         }
     return Step(
@@ -69,6 +69,10 @@
     )
 }
 
+/** A record that names another may come before it; what could not be read is tried again after each change. */
+private fun ConfigState.readRejectedAgain(): ConfigState =
+    rejected.keys.fold(this) { state, key -> stored[key]?.let { state.apply(it) } ?: state }
+
 private val StoredRecord.mapKey: String get() = "$kind/$name"
 
 private fun NodeState.compareRevision(
--- a/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
+++ b/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
@@ -6,6 +6,7 @@
 import lavendertrail.model.ModelId
 import lavendertrail.model.OwnerId
 import lavendertrail.model.ServerId
+import lavendertrail.model.ServiceClass
 import lavendertrail.model.ToolId
 import lavendertrail.reducer.StoredRecord
 
@@ -19,6 +20,10 @@
     public val owners: PersistentMap<OwnerId, OwnerRecord> = persistentMapOf(),
     public val accounts: PersistentMap<AccountId, AccountRecord> = persistentMapOf(),
     public val assistants: PersistentMap<String, AssistantRecord> = persistentMapOf(),
+    public val callers: PersistentMap<String, CallerRecord> = persistentMapOf(),
+    public val budgets: PersistentMap<String, BudgetRecord> = persistentMapOf(),
+    public val priorities: PersistentMap<ServiceClass, PriorityRecord> = persistentMapOf(),
+    public val programs: PersistentMap<String, ProgramRecord> = persistentMapOf(),
     public val servers: PersistentMap<ServerId, ServerRecord> = persistentMapOf(),
     public val tools: PersistentMap<ToolId, ToolRecord> = persistentMapOf(),
     public val models: PersistentMap<ModelId, ModelRecord> = persistentMapOf(),
--- a/core/src/main/kotlin/lavendertrail/config/RecordKind.kt
+++ b/core/src/main/kotlin/lavendertrail/config/RecordKind.kt
@@ -6,10 +6,12 @@
 ) {
     OWNER("owner"),
     ACCOUNT("account"),
+    CALLER("caller"),
     ASSISTANT("assistant"),
     HELPER("helper"),
     BUDGET("budget"),
     PRIORITY("priority"),
+    PROGRAM("program"),
     SERVER("server"),
     TOOL("tool"),
     MODEL("model"),
--- a/core/src/main/kotlin/lavendertrail/config/RecordReaders.kt
+++ b/core/src/main/kotlin/lavendertrail/config/RecordReaders.kt
@@ -12,22 +12,47 @@
 import kotlinx.serialization.json.jsonPrimitive
 import lavendertrail.reducer.StoredRecord
 
-/** Puts the record that a JSON object holds into force. */
+/** Puts the record that a JSON object holds into force, or throws [IllegalArgumentException]. */
 internal typealias RecordReader = (ConfigState, JsonObject) -> ConfigState
 
 private val recordJson = Json { allowComments = true }
 
+private fun assistantReaders(kind: RecordKind): Map<Pair<RecordKind, Int>, RecordReader> =
+    mapOf(
+        (kind to 1) to reader(AssistantRecord.serializer()) { copy(assistants = assistants.put(it.name, it)) },
+        (kind to 2) to
+            reader(AssistantRecordV2.serializer()) {
+                val budget = requireNotNull(budgets[it.budgetName]) { "budgetName '${it.budgetName}' names no budget record" }
+                copy(assistants = assistants.put(it.name, it.toRecord(budget.toBudget())))
+            },
+    )
+
 /** One reader for each kind and schema version, side by side, so that both owners can move to a new version in their own time. */
 private val readers: Map<Pair<RecordKind, Int>, RecordReader> =
     mapOf(
         (RecordKind.OWNER to 1) to reader(OwnerRecord.serializer()) { copy(owners = owners.put(it.owner, it)) },
         (RecordKind.ACCOUNT to 1) to reader(AccountRecord.serializer()) { copy(accounts = accounts.put(it.account, it)) },
-        (RecordKind.ASSISTANT to 1) to reader(AssistantRecord.serializer()) { copy(assistants = assistants.put(it.name, it)) },
-        (RecordKind.HELPER to 1) to reader(AssistantRecord.serializer()) { copy(assistants = assistants.put(it.name, it)) },
+        (RecordKind.CALLER to 1) to reader(CallerRecord.serializer()) { copy(callers = callers.put(it.caller, it)) },
+        (RecordKind.BUDGET to 1) to reader(BudgetRecord.serializer()) { withBudget(it) },
+        (RecordKind.PRIORITY to 1) to reader(PriorityRecord.serializer()) { copy(priorities = priorities.put(it.serviceClass, it)) },
+        (RecordKind.PROGRAM to 1) to reader(ProgramRecord.serializer()) { copy(programs = programs.put(it.name, it)) },
         (RecordKind.SERVER to 1) to reader(ServerRecord.serializer()) { copy(servers = servers.put(it.server, it)) },
         (RecordKind.TOOL to 1) to reader(ToolRecord.serializer()) { copy(tools = tools.put(it.tool, it)) },
+        (RecordKind.TOOL to 2) to reader(ToolRecordV2.serializer()) { copy(tools = tools.put(it.tool, it.toRecord())) },
         (RecordKind.MODEL to 1) to reader(ModelRecord.serializer()) { copy(models = models.put(it.model, it)) },
+    ) + assistantReaders(RecordKind.ASSISTANT) + assistantReaders(RecordKind.HELPER)
+
+/** The schema versions of [kind] that this release reads. */
+public fun readableVersions(kind: RecordKind): List<Int> = readers.keys.filter { it.first == kind }.map { it.second }
+
+/** Assistants that name this budget get its new limits at once. */
+private fun ConfigState.withBudget(record: BudgetRecord): ConfigState {
+    val affected = assistants.values.filter { it.budgetName == record.name }
+    return copy(
+        budgets = budgets.put(record.name, record),
+        assistants = affected.fold(assistants) { all, assistant -> all.put(assistant.name, assistant.copy(budget = record.toBudget())) },
     )
+}
 
 /** This state with [record] in force, or why the record can't be read. */
 internal fun ConfigState.read(record: StoredRecord): Result<ConfigState, String> =
@@ -37,18 +62,17 @@
         val reader = readers[kind to version]
         when {
             kind == null -> Err("kind '${record.kind}' is not known; allowed: ${RecordKind.entries.joinToString { it.key }}")
-            reader == null -> Err("schemaVersion '$version' of kind '${kind.key}' is not known here; allowed: ${versionsOf(kind)}")
+            reader == null ->
+                Err("schemaVersion '$version' of kind '${kind.key}' is not known here; allowed: ${readableVersions(kind).joinToString()}")
             else -> readWith(reader, json)
         }
     }
 
-private fun versionsOf(kind: RecordKind): String = readers.keys.filter { it.first == kind }.joinToString { it.second.toString() }
-
 private fun parseObject(record: StoredRecord): Result<JsonObject, String> =
     try {
         Ok(recordJson.decodeFromString(JsonObject.serializer(), record.json))
     } catch (e: SerializationException) {
-        Err("not a JSON object: ${e.message?.lineSequence()?.first()}")
+        Err("not a JSON object: ${e.firstLine()}")
     }
 
 private fun ConfigState.readWith(
@@ -58,9 +82,11 @@
     try {
         Ok(reader(this, JsonObject(json - "schemaVersion")))
     } catch (e: IllegalArgumentException) {
-        Err(e.message?.lineSequence()?.first() ?: "not readable")
+        Err(e.firstLine())
     }
 
+private fun IllegalArgumentException.firstLine(): String = message?.lineSequence()?.first() ?: "not readable"
+
 private fun <T> reader(
     strategy: DeserializationStrategy<T>,
     put: ConfigState.(T) -> ConfigState,
@@ -69,15 +95,19 @@
 /** This state without the record that [record] deletes. */
 internal fun ConfigState.without(record: StoredRecord): ConfigState =
     when (RecordKind.ofKeyOrNull(record.kind)) {
-        RecordKind.OWNER -> copy(owners = owners.removing { it.value == record.name })
-        RecordKind.ACCOUNT -> copy(accounts = accounts.removing { it.value == record.name })
+        RecordKind.OWNER -> copy(owners = owners.removingKey { it.value == record.name })
+        RecordKind.ACCOUNT -> copy(accounts = accounts.removingKey { it.value == record.name })
+        RecordKind.CALLER -> copy(callers = callers.remove(record.name))
         RecordKind.ASSISTANT, RecordKind.HELPER -> copy(assistants = assistants.remove(record.name))
-        RecordKind.SERVER -> copy(servers = servers.removing { it.value == record.name })
-        RecordKind.TOOL -> copy(tools = tools.removing { it.value == record.name })
-        RecordKind.MODEL -> copy(models = models.removing { it.value == record.name })
-        RecordKind.BUDGET, RecordKind.PRIORITY, null -> this
+        RecordKind.BUDGET -> copy(budgets = budgets.remove(record.name))
+        RecordKind.PRIORITY -> copy(priorities = priorities.removingKey { it.name.lowercase() == record.name })
+        RecordKind.PROGRAM -> copy(programs = programs.remove(record.name))
+        RecordKind.SERVER -> copy(servers = servers.removingKey { it.value == record.name })
+        RecordKind.TOOL -> copy(tools = tools.removingKey { it.value == record.name })
+        RecordKind.MODEL -> copy(models = models.removingKey { it.value == record.name })
+        null -> this
     }
 
-private fun <K, V> kotlinx.collections.immutable.PersistentMap<K, V>.removing(
+private fun <K, V> kotlinx.collections.immutable.PersistentMap<K, V>.removingKey(
     matches: (K) -> Boolean,
 ): kotlinx.collections.immutable.PersistentMap<K, V> = keys.find(matches)?.let { remove(it) } ?: this
--- a/core/src/test/kotlin/lavendertrail/config/ConfigReducerTest.kt
+++ b/core/src/test/kotlin/lavendertrail/config/ConfigReducerTest.kt
@@ -96,4 +96,58 @@
         assertEquals(listOf(FetchConfig(NodeId("n2"), 0)), first.effects.filterIsInstance<FetchConfig>())
         assertEquals(emptyList(), second.effects.filterIsInstance<FetchConfig>())
     }
+
+    /** Guards against owners that must move to a new schema version at the same time. */
+    @Test
+    fun `versions 1 and 2 of a tool record stand side by side`() {
+        val first =
+            StoredRecord("tool", "fee", """{"schemaVersion":1,"tool":"fee","servers":["s1"],"repeatable":false,"hasStatusCall":true}""", 5)
+        val second = StoredRecord("tool", "hold", """{"schemaVersion":2,"tool":"hold","servers":["s1"],"repeat":"neverButStatus"}""", 6)
+        val tools =
+            empty
+                .receive(first, second)
+                .config.tools.values
+
+        assertEquals(listOf(false to true, false to true), tools.map { it.repeatable to it.hasStatusCall })
+    }
+
+    /** Guards against an assistant that is lost because its budget record comes later, and against limits that stay old. */
+    @Test
+    fun `an assistant follows the budget record that it names`() {
+        val assistant =
+            StoredRecord(
+                "assistant",
+                "desk",
+                """{"schemaVersion":2,"name":"desk","owner":"barakah","model":"m","serviceClass":"urgent","budgetName":"small"}""",
+                5,
+            )
+
+        fun budget(
+            tokens: Long,
+            revision: Long,
+        ) = StoredRecord(
+            "budget",
+            "small",
+            """{"schemaVersion":1,"name":"small","maxTokens":$tokens,"maxCostMicros":1,"maxTurns":1,"maxWallMillis":1}""",
+            revision,
+        )
+        val early = empty.receive(assistant)
+        val later = early.receive(budget(100, 6))
+
+        assertEquals("budgetName 'small' names no budget record", early.config.rejected["assistant/desk"])
+        assertEquals(
+            100,
+            later.config.assistants["desk"]
+                ?.budget
+                ?.maxTokens,
+        )
+        assertEquals(
+            200,
+            later
+                .receive(budget(200, 7))
+                .config.assistants["desk"]
+                ?.budget
+                ?.maxTokens,
+        )
+    }
 }
