--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/program/Digest.kt
@@ -0,0 +1,37 @@
+package lavendertrail.program
+
+import java.security.MessageDigest
+
+/**
+ * The first 128 bits of a SHA-256, packed into two longs: a quarter of the memory of the hex string, and still no
+ * chance collision at any number of calls that fits into a journal.
+ */
+internal data class Digest(
+    val high: Long,
+    val low: Long,
+) {
+    fun hex(): String = "%016x%016x".format(high, low)
+}
+
+internal fun digestOf(vararg parts: String): Digest {
+    val sha256 = MessageDigest.getInstance("SHA-256")
+    for (part in parts) {
+        val bytes = part.toByteArray()
+        sha256.update(lengthPrefix(bytes.size))
+        sha256.update(bytes)
+    }
+    val hash = sha256.digest()
+    return Digest(longAt(hash, 0), longAt(hash, Long.SIZE_BYTES))
+}
+
+/** The digest whose hex form starts the hex SHA-256 [sha256Hex]. */
+internal fun digestOfHex(sha256Hex: String): Digest =
+    Digest(sha256Hex.substring(0, 16).toULong(16).toLong(), sha256Hex.substring(16, 32).toULong(16).toLong())
+
+/** Keeps ("ab", "c") and ("a", "bc") apart. */
+private fun lengthPrefix(length: Int): ByteArray = "$length:".toByteArray()
+
+private fun longAt(
+    bytes: ByteArray,
+    offset: Int,
+): Long = (0 until Long.SIZE_BYTES).fold(0L) { value, index -> (value shl 8) or (bytes[offset + index].toLong() and 0xff) }
--- a/core/src/main/kotlin/lavendertrail/program/ProgramSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramSettings.kt
@@ -2,11 +2,18 @@
 
 import kotlinx.serialization.Serializable
 
-/** Limits on what one node holds for programs. */
+/**
+ * Limits on what one node holds for programs. [maxRecentCalls] and [maxRecentTextBytes] bound the finished calls whose
+ * texts stay in memory, per program; [cancelLimitMillis] bounds the wait for dispatch to report a cancelled call.
+ */
 @Serializable
 public data class ProgramSettings(
     public val maxWaitingCalls: Int = 64,
     public val maxWaitingMillis: Long = 30_000,
     public val endedRetentionMillis: Long = 600_000,
-    public val bytesPerToken: Int = 4,
+    public val bytesPerToken: Int = DEFAULT_BYTES_PER_TOKEN,
+    public val maxRecentCalls: Int = 16,
+    public val maxRecentTextBytes: Int = 49_152,
+    public val cancelLimitMillis: Long = 5_000,
+    public val retryAfterMillis: Long = 200,
 )
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/program/RecordContent.kt
@@ -0,0 +1,82 @@
+package lavendertrail.program
+
+import kotlinx.serialization.json.Json
+import lavendertrail.history.HistoryPayload
+import lavendertrail.history.sha256Hex
+import lavendertrail.model.CallBody
+import lavendertrail.model.CallResult
+import lavendertrail.model.Message
+import lavendertrail.model.Refusal
+import lavendertrail.model.RefusalReason
+import lavendertrail.model.RunOutcome
+
+private val contentJson =
+    Json {
+        encodeDefaults = true
+        ignoreUnknownKeys = true
+    }
+
+/** Canonical form of a call's body: fields in the order of their declaration, defaults written out. */
+internal fun encodeBody(body: CallBody): String = contentJson.encodeToString(CallBody.serializer(), body)
+
+internal fun decodeBody(content: String): CallBody = contentJson.decodeFromString(CallBody.serializer(), content)
+
+/** SHA-256 of the canonical form of [body]; two requests at one position are the same call where it is equal. */
+public fun bodySha256(body: CallBody): String = sha256Hex(encodeBody(body))
+
+/** Content of a `CallFinished` record: the answer's text, or the refusal as JSON. */
+internal fun contentOf(result: CallResult): String =
+    when (result) {
+        is CallResult.Answered -> result.text
+        is CallResult.Refused -> contentJson.encodeToString(Refusal.serializer(), result.refusal)
+    }
+
+internal fun resultOf(
+    finished: HistoryPayload.CallFinished,
+    content: String,
+): CallResult {
+    val reason = finished.refusal ?: return CallResult.Answered(content, finished.usage, finished.server)
+    val refusal =
+        if (content.isEmpty()) {
+            Refusal(finished.outcome, reason, "outcome of the first call with this key", step = "program replay")
+        } else {
+            contentJson.decodeFromString(Refusal.serializer(), content)
+        }
+    return CallResult.Refused(refusal)
+}
+
+/** What later requests for a settled call get. */
+internal fun resultOf(settled: HistoryPayload.Settled): CallResult =
+    CallResult.Refused(
+        Refusal(
+            outcome = settled.outcome,
+            reason = RefusalReason.UNRESOLVED,
+            message = "settled by ${settled.settledBy}; the answer is not known",
+            step = "program settle",
+        ),
+    )
+
+/** Messages that a call with [result] adds to the program's history. A call without an answer adds none. */
+internal fun messagesOf(
+    body: CallBody?,
+    result: CallResult,
+): List<Message> =
+    if (result !is CallResult.Answered) {
+        emptyList()
+    } else {
+        when (body) {
+            is CallBody.ModelCall -> body.messages + Message("assistant", result.text)
+            is CallBody.ToolCall -> listOf(Message("tool", result.text))
+            is CallBody.ToolResult -> listOf(Message("tool", body.content))
+            null -> emptyList()
+        }
+    }
+
+/** A refused call whose position may be used again, since repeating it is safe and said to make sense. */
+internal fun reopens(
+    result: CallResult,
+    repeatable: Boolean,
+): Boolean {
+    val refusal = (result as? CallResult.Refused)?.refusal ?: return false
+    return refusal.retryAfterMillis != null && (refusal.outcome == RunOutcome.NOT_RUN || repeatable)
+}
--- a/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
@@ -117,10 +117,27 @@
     public val total: Usage,
 ) : Effect
 
+/**
+ * The first [recordCount] records of the program. Where [records] has fewer, the runner reads them from the journal: the
+ * reducer keeps no full texts.
+ */
 public data class AnswerHistory(
     public val requestId: Long,
     public val program: ProgramId,
     public val records: List<HistoryRecord>,
+    public val recordCount: Int = records.size,
+) : Effect
+
+/**
+ * Answers like [AnswerCall] with an outcome that is no longer in memory: the runner reads the first [recordCount] records
+ * of the program from the journal and calls [lavendertrail.program.storedAnswer]. [bodySha256] is null where the body was
+ * compared already.
+ */
+public data class AnswerFromHistory(
+    public val requestId: Long,
+    public val call: CallId,
+    public val bodySha256: String?,
+    public val recordCount: Int,
 ) : Effect
 
 /** Refuses a request that is not a call, or a call that was not started. */
