--- a/node/src/main/kotlin/lavendertrail/journal/CopyStorage.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/CopyStorage.kt
@@ -2,13 +2,14 @@
 
 import kotlinx.serialization.Serializable
 
-/** The part of a copy that is not entries. [startIndex] is where an empty copy begins. */
+/** The part of a copy that is not entries. [startIndex] is where an empty copy begins; [version] counts its changes. */
 @Serializable
 internal data class CopyState(
     val sealedEpoch: Long,
     val attempt: Long,
     val complete: Boolean,
     val startIndex: Long = 0,
+    val version: Long = 0,
 )
 
 /** From [fromIndex] on the entries of a copy can't be trusted, because of what [message] says. */
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/journal/OpenFiles.kt
@@ -0,0 +1,61 @@
+package lavendertrail.journal
+
+import java.nio.file.Path
+
+/**
+ * Keeps up to [maxOpen] files open and closes the one unused for longest. A file in use is never closed, so the number
+ * may exceed [maxOpen] by the number of threads that use a file. Closing doesn't flush; a later flush through another
+ * handle of the same file writes the same pages.
+ */
+internal class OpenFiles(
+    private val files: JournalFiles,
+    private val maxOpen: Int,
+) : AutoCloseable {
+    private class Handle(
+        val file: JournalFile,
+        var users: Int = 0,
+    )
+
+    private val handles = LinkedHashMap<Path, Handle>(16, 0.75f, true)
+
+    val openCount: Int get() = synchronized(handles) { handles.size }
+
+    fun <T> use(
+        path: Path,
+        work: (JournalFile) -> T,
+    ): T {
+        val handle = acquire(path)
+        try {
+            return work(handle.file)
+        } finally {
+            synchronized(handles) { handle.users-- }
+        }
+    }
+
+    /** Closes the handle of a file that is about to be deleted. */
+    fun forget(path: Path) = synchronized(handles) { handles.remove(path)?.file?.close() ?: Unit }
+
+    override fun close() =
+        synchronized(handles) {
+            handles.values.forEach { it.file.close() }
+            handles.clear()
+        }
+
+    private fun acquire(path: Path): Handle =
+        synchronized(handles) {
+            val handle = handles[path] ?: Handle(files.open(path)).also { handles[path] = it }
+            handle.users++
+            closeUnused()
+            handle
+        }
+
+    private fun closeUnused() {
+        val iterator = handles.values.iterator()
+        while (handles.size > maxOpen && iterator.hasNext()) {
+            val handle = iterator.next()
+            if (handle.users > 0) continue
+            iterator.remove()
+            handle.file.close()
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/journal/Segment.kt
@@ -0,0 +1,139 @@
+package lavendertrail.journal
+
+import java.io.IOException
+import java.nio.file.Path
+
+private const val SUFFIX = ".seg"
+private const val NAME_DIGITS = 19
+
+/** Every 64th entry's offset is kept: 64 MB of 1 KB entries need 8 KB of memory, and a read skips at most 63 frames. */
+private const val OFFSET_STEP = 64
+
+internal fun segmentName(base: Long) = base.toString().padStart(NAME_DIGITS, '0') + SUFFIX
+
+internal fun segmentBaseOrNull(name: String) = if (name.endsWith(SUFFIX)) name.removeSuffix(SUFFIX).toLongOrNull() else null
+
+/** One file of consecutive entries from index [base] on. [nextIndex] and [sizeBytes] end at the last whole frame. */
+internal class Segment(
+    val path: Path,
+    val base: Long,
+) {
+    var nextIndex = base
+        private set
+    var sizeBytes = 0L
+        private set
+    var lastEpoch = 0L
+        private set
+    private var scanned = false
+    private var offsets = LongArray(1)
+    private var offsetCount = 0
+
+    /** What follows the last whole frame: nothing, a frame that was cut off, or bytes that are [corrupt]. */
+    class Tail(
+        val torn: Boolean = false,
+        val corrupt: String? = null,
+    )
+
+    /** Takes the file to hold all entries up to [next] without reading it, until it is read for the first time. */
+    fun assumeFilledTo(next: Long) {
+        nextIndex = next
+        scanned = false
+    }
+
+    /** Reads the whole file and checks every frame. */
+    fun scan(file: JournalFile): Tail {
+        reset()
+        val reader = FrameReader(file)
+        while (true) {
+            val frame = reader.readAt(sizeBytes)
+            when (frame) {
+                is FrameRead.End -> return Tail()
+                is FrameRead.Torn -> return Tail(torn = true)
+                is FrameRead.Corrupt -> return Tail(corrupt = frame.message)
+                is FrameRead.Whole -> {
+                    if (indexOf(frame.payload) != nextIndex) return Tail(corrupt = "no entry $nextIndex at byte $sizeBytes")
+                    added(frame.nextOffset - sizeBytes, epochOf(frame.payload))
+                }
+            }
+        }
+    }
+
+    /** Passes entries from [fromIndex] on to [take] until it returns false; returns the damage that ended the reading. */
+    fun read(
+        file: JournalFile,
+        fromIndex: Long,
+        take: (JournalEntry, Int) -> Boolean,
+    ): CopyDamage? {
+        scanIfNeeded(file)?.let { if (fromIndex >= it.fromIndex) return it }
+        val reader = FrameReader(file, minOf(sizeBytes, file.size()))
+        var offset = startOffset(fromIndex)
+        var index = startIndex(fromIndex)
+        while (index < nextIndex) {
+            val frame = reader.readAt(offset)
+            if (frame !is FrameRead.Whole) return CopyDamage(index, (frame as? FrameRead.Corrupt)?.message ?: "file ends at byte $offset")
+            if (index >= fromIndex) {
+                val entry = decodeEntryOrNull(frame.payload)
+                if (entry?.index != index) return CopyDamage(index, "no entry $index at byte $offset")
+                if (!take(entry, frame.payload.size)) return null
+            }
+            offset = frame.nextOffset
+            index++
+        }
+        return null
+    }
+
+    /** Cuts the segment before entry [to]; the caller cuts the file to the new [sizeBytes]. */
+    fun cut(
+        file: JournalFile,
+        to: Long,
+    ) {
+        scanIfNeeded(file)
+        val reader = FrameReader(file, sizeBytes)
+        val kept = Segment(path, base)
+        while (kept.nextIndex < to) {
+            val frame = reader.readAt(kept.sizeBytes) as? FrameRead.Whole
+            if (frame == null) throw IOException("entry ${kept.nextIndex} of $path can't be read")
+            kept.added(frame.nextOffset - kept.sizeBytes, epochOf(frame.payload))
+        }
+        nextIndex = kept.nextIndex
+        sizeBytes = kept.sizeBytes
+        lastEpoch = kept.lastEpoch
+        offsets = kept.offsets
+        offsetCount = kept.offsetCount
+    }
+
+    fun added(
+        frameBytes: Long,
+        epoch: Long,
+    ) {
+        if ((nextIndex - base) % OFFSET_STEP == 0L) {
+            if (offsetCount == offsets.size) offsets = offsets.copyOf(offsets.size * 2)
+            offsets[offsetCount++] = sizeBytes
+        }
+        scanned = true
+        sizeBytes += frameBytes
+        nextIndex++
+        lastEpoch = epoch
+    }
+
+    /** Returns the damage where the file holds fewer whole entries than assumed. */
+    fun scanIfNeeded(file: JournalFile): CopyDamage? {
+        if (scanned) return null
+        val assumed = nextIndex
+        val tail = scan(file)
+        if (nextIndex >= assumed && tail.corrupt == null && !tail.torn) return null
+        return CopyDamage(nextIndex, tail.corrupt ?: "segment ${path.fileName} ends before entry $assumed")
+    }
+
+    private fun startOffset(index: Long) = offsets[((index - base) / OFFSET_STEP).toInt()]
+
+    private fun startIndex(index: Long) = index - (index - base) % OFFSET_STEP
+
+    private fun reset() {
+        nextIndex = base
+        sizeBytes = 0
+        lastEpoch = 0
+        offsetCount = 0
+        scanned = true
+    }
+}
