--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/api/ProgramIds.kt
@@ -0,0 +1,55 @@
+package lavendertrail.api
+
+import lavendertrail.history.sha256Hex
+import lavendertrail.model.AccountId
+import lavendertrail.model.PartitionId
+import lavendertrail.model.ProgramId
+import lavendertrail.model.programId
+import lavendertrail.reducer.NodeState
+import java.security.SecureRandom
+
+/**
+ * Chooses ids of new programs. With an open key the id follows from account and key, so that opening again at any node
+ * finds the same program. Without one it is random, in a partition that this node owns if there is one, which saves the
+ * way to another node on each call.
+ */
+internal class ProgramIds(
+    private val state: () -> NodeState,
+    private val random: SecureRandom = SecureRandom(),
+) {
+    fun open(
+        account: AccountId,
+        openKey: String?,
+    ): ProgramId {
+        val region = state().self.region
+        if (openKey != null) {
+            val hash = sha256Hex("$account\n$openKey")
+            val usable = partitions()
+            val partition = usable[hash.take(PARTITION_DIGITS).toLong(radix = 16).mod(usable.size)]
+            return programId(region, partition, hash.drop(PARTITION_DIGITS).take(SUFFIX_DIGITS))
+        }
+        val owned = owned().ifEmpty { partitions() }
+        return programId(region, owned[random.nextInt(owned.size)], randomSuffix())
+    }
+
+    private fun partitions(): List<PartitionId> = (0 until state().settings.membership.partitionsInUse).map { PartitionId(it) }
+
+    private fun owned(): List<PartitionId> {
+        val current = state()
+        return current.membership.partitions
+            .filterValues { it.record?.ownerNode == current.self.node }
+            .keys
+            .toList()
+    }
+
+    private fun randomSuffix(): String {
+        val bytes = ByteArray(RANDOM_BYTES).also(random::nextBytes)
+        return bytes.joinToString("") { "%02x".format(it) }
+    }
+
+    private companion object {
+        const val PARTITION_DIGITS = 8
+        const val SUFFIX_DIGITS = 32
+        const val RANDOM_BYTES = 10
+    }
+}
--- a/node/src/main/kotlin/lavendertrail/node/ServiceWatch.kt
+++ b/node/src/main/kotlin/lavendertrail/node/ServiceWatch.kt
@@ -135,7 +135,8 @@
                 .mapNotNull { storedRecord(it, "", batch.revision, deleted = true) }
         val records = changed + deleted
         configRevision = maxOf(configRevision, records.maxOfOrNull { it.revision } ?: 0)
-        if (firstList || records.isNotEmpty()) emit(ConfigRecordsReceived(records, configRevision, "service"))
+        val headRevision = if (firstList) batch.revision else configRevision
+        if (firstList || records.isNotEmpty()) emit(ConfigRecordsReceived(records, headRevision, "service", complete = firstList))
     }
 
     private fun applyPoison(batch: WatchBatch) {
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingsCheck.kt
@@ -0,0 +1,203 @@
+package lavendertrail.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Path
+import kotlin.io.path.exists
+import kotlin.io.path.readText
+
+/** What is wrong with one setting, in one line that names key, value and what is allowed. */
+public data class SettingProblem(
+    public val key: String,
+    public val value: String?,
+    public val allowed: String,
+) {
+    override fun toString(): String = if (value == null) "$key: $allowed" else "$key = $value: $allowed"
+}
+
+@OptIn(ExperimentalSerializationApi::class)
+private val settingsJson =
+    Json {
+        allowComments = true
+        allowTrailingComma = true
+    }
+
+/** Reads and checks the settings in [file]; all problems are reported at once. */
+public fun readSettings(file: Path): Result<NodeSettings, List<SettingProblem>> {
+    val text =
+        try {
+            file.readText()
+        } catch (error: IOException) {
+            return Err(listOf(SettingProblem("file", file.toString(), "can't be read: $error")))
+        }
+    return parseSettings(text)
+}
+
+/** Checks everything that doesn't depend on the host. */
+public fun parseSettings(text: String): Result<NodeSettings, List<SettingProblem>> {
+    val root =
+        try {
+            settingsJson.parseToJsonElement(text) as? JsonObject
+        } catch (error: SerializationException) {
+            return Err(listOf(SettingProblem("file", null, "is not JSON: ${error.message.orEmpty().lineSequence().first()}")))
+        } ?: return Err(listOf(SettingProblem("file", null, "must hold one JSON object")))
+    val problems = problemsOf(root)
+    if (problems.isNotEmpty()) return Err(problems)
+    return try {
+        val settings = settingsJson.decodeFromJsonElement(NodeSettings.serializer(), root)
+        val conflicts = conflicts(settings)
+        if (conflicts.isEmpty()) Ok(settings) else Err(conflicts)
+    } catch (error: IllegalArgumentException) {
+        Err(
+            listOf(
+                SettingProblem(
+                    "file",
+                    null,
+                    error.message
+                        .orEmpty()
+                        .lineSequence()
+                        .first(),
+                ),
+            ),
+        )
+    }
+}
+
+/** Checks what depends on the host: files that are named must exist, and ports must be free. */
+public fun checkHost(settings: NodeSettings): List<SettingProblem> =
+    listOfNotNull(
+        fileProblem("api.tlsKeystoreFile", settings.api.tlsKeystoreFile),
+        fileProblem("api.tlsPasswordFile", settings.api.tlsPasswordFile),
+        fileProblem("peer.certificateFile", settings.peer.certificateFile),
+        fileProblem("peer.keyFile", settings.peer.keyFile),
+        fileProblem("peer.authorityFile", settings.peer.authorityFile),
+        portProblem("api.port", settings.api.ip, settings.api.port),
+        portProblem("peer.port", settings.peer.ip, settings.peer.port),
+    )
+
+private fun problemsOf(root: JsonObject): List<SettingProblem> {
+    val given = mutableMapOf<String, JsonElement>()
+    val problems = mutableListOf<SettingProblem>()
+    flatten(root, "", given, problems)
+    settingsCatalogue.forEach { entry ->
+        val value = given[entry.name]
+        when {
+            value == null && entry.required -> problems += SettingProblem(entry.name, null, "is missing, must be ${entry.rule.allowed}")
+            value != null && (value != JsonNull || entry.default != null || entry.required) -> entry.problem(value)?.let { problems += it }
+        }
+    }
+    return problems
+}
+
+private val groups = settingsCatalogue.map { it.name.substringBeforeLast('.', "") }.filter { it.isNotEmpty() }.toSet()
+private val names = settingsCatalogue.associateBy { it.name }
+
+private fun flatten(
+    element: JsonObject,
+    prefix: String,
+    given: MutableMap<String, JsonElement>,
+    problems: MutableList<SettingProblem>,
+) {
+    element.forEach { (key, value) ->
+        val name = prefix + key
+        when {
+            name in names -> given[name] = value
+            name !in groups -> problems += SettingProblem(name, shown(value), "unknown key, allowed here: ${keysUnder(prefix)}")
+            value is JsonObject -> flatten(value, "$name.", given, problems)
+            else -> problems += SettingProblem(name, shown(value), "must be an object with ${keysUnder("$name.")}")
+        }
+    }
+}
+
+private fun keysUnder(prefix: String): String =
+    (names.keys + groups)
+        .filter { it.startsWith(prefix) }
+        .map { it.removePrefix(prefix).substringBefore('.') }
+        .distinct()
+        .joinToString(", ")
+
+private fun SettingEntry.problem(value: JsonElement): SettingProblem? {
+    val fits =
+        when (type) {
+            SettingType.LIST -> value is JsonArray
+            SettingType.TEXT -> value is JsonPrimitive && value.isString && value.content.isNotBlank()
+            SettingType.NUMBER -> value is JsonPrimitive && !value.isString && value.content.toLongOrNull() != null
+            SettingType.BOOLEAN -> value is JsonPrimitive && !value.isString && value.content.toBooleanStrictOrNull() != null
+        }
+    if (!fits) return SettingProblem(name, shown(value), "must be ${typeText()}")
+    if (type == SettingType.LIST) return null
+    return if (rule.accepts((value as JsonPrimitive).content)) null else SettingProblem(name, shown(value), "must be ${rule.allowed}")
+}
+
+private fun SettingEntry.typeText(): String {
+    val range = if (rule is SettingRule.Anything) "" else ", ${rule.allowed}"
+    return when (type) {
+        SettingType.NUMBER -> (if (unit.isEmpty()) "a whole number" else "a whole number of $unit without a unit") + range
+        SettingType.TEXT -> "text in quotes$range"
+        SettingType.BOOLEAN -> "true or false"
+        SettingType.LIST -> "a list"
+    }
+}
+
+/** A value may be a secret that landed in the wrong place, so no more than its start is shown. */
+private fun shown(value: JsonElement): String = value.toString().let { if (it.length > MAX_SHOWN) it.take(MAX_SHOWN) + "..." else it }
+
+private const val MAX_SHOWN = 60
+private val SHA256 = Regex("[0-9a-fA-F]{64}")
+
+/** Settings that are right one by one and wrong together. */
+private fun conflicts(settings: NodeSettings): List<SettingProblem> {
+    val problems = mutableListOf<SettingProblem>()
+    val peerFiles = listOf(settings.peer.certificateFile, settings.peer.keyFile, settings.peer.authorityFile)
+    if (peerFiles.any { it != null } && peerFiles.any { it == null }) {
+        problems +=
+            SettingProblem("peer.certificateFile", settings.peer.certificateFile, "give all of certificateFile, keyFile, authorityFile")
+    }
+    if (peerFiles.all { it == null } && !InetAddress.getByName(settings.peer.ip).isLoopbackAddress) {
+        problems += SettingProblem("peer.ip", settings.peer.ip, "must be a loopback address unless peer.certificateFile is given")
+    }
+    if ((settings.api.tlsKeystoreFile == null) != (settings.api.tlsPasswordFile == null)) {
+        problems += SettingProblem("api.tlsPasswordFile", settings.api.tlsPasswordFile, "give both tlsKeystoreFile and tlsPasswordFile")
+    }
+    if (settings.api.maxOpenRequests >= settings.api.workerThreads) {
+        problems +=
+            SettingProblem("api.maxOpenRequests", "${settings.api.maxOpenRequests}", "must be below api.workerThreads")
+    }
+    if (settings.timing.leaseRenewMillis * 2 > settings.timing.leaseTtlMillis) {
+        problems +=
+            SettingProblem("timing.leaseRenewMillis", "${settings.timing.leaseRenewMillis}", "must be at most half of leaseTtlMillis")
+    }
+    settings.operators.filterNot { SHA256.matches(it.tokenSha256) }.forEach {
+        problems += SettingProblem("operators", it.name, "tokenSha256 must be 64 hex digits, the SHA-256 of the token")
+    }
+    return problems
+}
+
+private fun fileProblem(
+    key: String,
+    file: String?,
+): SettingProblem? = if (file == null || Path.of(file).exists()) null else SettingProblem(key, file, "must be a file that exists")
+
+private fun portProblem(
+    key: String,
+    ip: String,
+    port: Int,
+): SettingProblem? =
+    try {
+        if (port != 0) ServerSocket(port, 1, InetAddress.getByName(ip)).close()
+        null
+    } catch (error: IOException) {
+        SettingProblem(key, "$port", "must be a free port on $ip (${error.message})")
+    }
