--- a/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -4,8 +4,11 @@
 import lavendertrail.journal.JournalAppend
 import lavendertrail.journal.JournalPage
 import lavendertrail.journal.JournalRead
+import lavendertrail.journal.JournalReclaim
 import lavendertrail.journal.JournalSeal
+import lavendertrail.journal.JournalStore
 import lavendertrail.membership.ProbeMessage
+import lavendertrail.membership.probeMessage
 import lavendertrail.model.NodeId
 import lavendertrail.model.PartitionId
 import lavendertrail.peer.ConfigPage
@@ -17,27 +20,18 @@
 import lavendertrail.reducer.NodeState
 import lavendertrail.reducer.ProbeReceived
 
-/** This node's copies of journals; a node without a data folder has none. */
-internal interface JournalCopies {
-    fun append(request: JournalAppend): JournalAnswer
-
-    fun seal(request: JournalSeal): JournalAnswer
-
-    fun read(request: JournalRead): JournalPage
-}
-
 /** What other nodes ask of this one. */
 internal class LocalPeerService(
     private val state: () -> NodeState,
     private val owner: LocalOwner,
-    private val journal: JournalCopies?,
+    private val journal: JournalStore?,
     private val emit: (Event) -> Unit,
     private val dumpState: () -> String,
     private val clock: () -> Long = System::currentTimeMillis,
 ) : PeerService {
     override fun probe(message: ProbeMessage): ProbeMessage {
         emit(ProbeReceived(message))
-        return state().probeAnswer()
+        return state().probeMessage(clock())
     }
 
     override fun submit(
@@ -55,6 +49,8 @@
     override fun readJournal(request: JournalRead): JournalPage =
         journal?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
 
+    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = journal?.reclaim(request) ?: JournalAnswer.Unknown
+
     override fun fetchConfig(afterRevision: Long): ConfigPage {
         val config = state().config
         return ConfigPage(config.stored.values.filter { it.revision > afterRevision }, config.headRevision)
@@ -72,13 +68,3 @@
         const val GRACE_MILLIS = 2_000L
     }
 }
-
-private fun NodeState.probeAnswer(): ProbeMessage =
-    ProbeMessage(
-        from = self.node,
-        incarnation = self.incarnation,
-        leaving = membership.shuttingDown,
-        configRevision = config.headRevision,
-        suspects = emptyList(),
-        nodeRecord = self,
-    )
--- a/node/src/main/kotlin/lavendertrail/node/Peers.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Peers.kt
@@ -21,7 +21,8 @@
     fun peer(peer: NodeId): PeerService? {
         val address =
             state()
-                .membership.nodes[peer]
+                .membership.peers[peer]
+                ?.record
                 ?.peerAddress ?: return null
         val existing = connections[peer]
         if (existing?.address == address) return existing.service
@@ -38,7 +39,7 @@
 
     /** Closes connections to nodes whose records are gone. */
     fun sweep() {
-        val live = state().membership.nodes
+        val live = state().membership.peers
         connections.keys.filter { it !in live }.forEach { connections.remove(it)?.close() }
     }
 
--- a/node/src/main/kotlin/lavendertrail/settings/SettingsCheck.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingsCheck.kt
@@ -18,15 +18,6 @@
 import kotlin.io.path.exists
 import kotlin.io.path.readText
 
-/** What is wrong with one setting, in one line that names key, value and what is allowed. */
-public data class SettingProblem(
-    public val key: String,
-    public val value: String?,
-    public val allowed: String,
-) {
-    override fun toString(): String = if (value == null) "$key: $allowed" else "$key = $value: $allowed"
-}
-
 @OptIn(ExperimentalSerializationApi::class)
 private val settingsJson =
     Json {
