--- a/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -6,6 +6,7 @@
 import lavendertrail.journal.JournalRead
 import lavendertrail.journal.JournalReclaim
 import lavendertrail.journal.JournalSeal
+import lavendertrail.journal.JournalStore
 import lavendertrail.membership.ProbeMessage
 import lavendertrail.membership.probeMessage
 import lavendertrail.model.NodeId
@@ -19,22 +20,11 @@
 import lavendertrail.reducer.NodeState
 import lavendertrail.reducer.ProbeReceived
 
-/** This node's copies of journals; a node without a data folder has none. */
-internal interface JournalCopies {
-    fun append(request: JournalAppend): JournalAnswer
-
-    fun seal(request: JournalSeal): JournalAnswer
-
-    fun read(request: JournalRead): JournalPage
-
-    fun reclaim(request: JournalReclaim): JournalAnswer
-}
-
 /** What other nodes ask of this one. */
 internal class LocalPeerService(
     private val state: () -> NodeState,
     private val owner: LocalOwner,
-    private val journal: JournalCopies?,
+    private val journal: JournalStore?,
     private val emit: (Event) -> Unit,
     private val dumpState: () -> String,
     private val clock: () -> Long = System::currentTimeMillis,
