--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/bill/BillLine.kt
@@ -0,0 +1,17 @@
+package lavendertrail.bill
+
+import kotlinx.serialization.Serializable
+import lavendertrail.model.AccountId
+import lavendertrail.model.OwnerId
+import lavendertrail.model.ProgramId
+import lavendertrail.model.Usage
+
+/** Use of one program itself; its sub-agents have lines of their own. */
+@Serializable
+public data class BillLine(
+    public val program: ProgramId,
+    public val owner: OwnerId?,
+    public val account: AccountId?,
+    public val calls: Int,
+    public val usage: Usage,
+)
--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/program/HistoryTexts.kt
@@ -0,0 +1,105 @@
+package lavendertrail.program
+
+import lavendertrail.history.HistoryPayload
+import lavendertrail.history.HistoryRecord
+import lavendertrail.model.CallBody
+import lavendertrail.model.CallId
+import lavendertrail.model.CallResult
+import lavendertrail.model.Message
+import lavendertrail.model.ProgramId
+import lavendertrail.model.Refusal
+import lavendertrail.model.RefusalReason
+import lavendertrail.model.RunOutcome
+
+/**
+ * Reads the acknowledged records of a program, with content, in order, from the journal.
+ *
+ * [ProgramsState] keeps the texts of a program's last calls only ([ProgramSettings.maxRecentTextBytes]); the runner passes
+ * a lookup to [promptMessages] and [storedAnswer] for the rest.
+ */
+public fun interface HistoryTexts {
+    public fun records(program: ProgramId): List<HistoryRecord>
+}
+
+/** Messages that [records] of one program add up to: the prompt of its next model call, without that call's messages. */
+public fun historyMessages(records: List<HistoryRecord>): List<Message> =
+    finishedCalls(records).flatMap { call -> messagesOf(call.body, call.result) }
+
+/**
+ * The answer to a request that came as [lavendertrail.reducer.AnswerFromHistory], from the first [recordCount] records.
+ */
+public fun storedAnswer(
+    texts: HistoryTexts,
+    call: CallId,
+    bodySha256: String?,
+    recordCount: Int,
+): CallResult {
+    val finished = finishedCalls(texts.records(call.program).take(recordCount)).lastOrNull { it.started.position == call.position }
+    return when {
+        finished == null -> {
+            CallResult.Refused(notInHistory(RunOutcome.NOT_RUN, RefusalReason.PROGRAM_ENDED, "$call is not in the program's history"))
+        }
+
+        bodySha256 != null && finished.started.bodySha256 != bodySha256 -> {
+            val message = "position ${call.position} of ${call.program} has another call"
+            CallResult.Refused(notInHistory(RunOutcome.NOT_RUN, RefusalReason.POSITION_TAKEN, message))
+        }
+
+        finished.started.kind == CallKind.SAME_KEY -> {
+            storedAnswer(texts, parseCallId(finished.started.target), null, Int.MAX_VALUE)
+        }
+
+        else -> {
+            finished.result
+        }
+    }
+}
+
+private fun notInHistory(
+    outcome: RunOutcome,
+    reason: RefusalReason,
+    message: String,
+): Refusal = Refusal(outcome, reason, message, step = "history lookup")
+
+private data class FinishedCall(
+    val started: HistoryPayload.CallStarted,
+    val body: CallBody?,
+    val result: CallResult,
+)
+
+private fun finishedCalls(records: List<HistoryRecord>): List<FinishedCall> {
+    val finished = mutableListOf<FinishedCall>()
+    var started: Pair<HistoryPayload.CallStarted, String?>? = null
+    for (record in records) {
+        when (val payload = record.payload) {
+            is HistoryPayload.CallStarted -> {
+                started = payload to record.content
+            }
+
+            is HistoryPayload.CallFinished -> {
+                started?.let { (call, content) -> finished += finishedCall(call, content, payload, record.content.orEmpty()) }
+            }
+
+            is HistoryPayload.Settled -> {
+                val index = finished.indexOfLast { it.started.position == payload.position }
+                if (index >= 0) finished[index] = finished[index].copy(result = resultOf(payload))
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+    return finished
+}
+
+/** A call that shares a key adds no message: its answer is in the history of the first call. */
+private fun finishedCall(
+    started: HistoryPayload.CallStarted,
+    content: String?,
+    finished: HistoryPayload.CallFinished,
+    text: String,
+): FinishedCall {
+    val body = if (started.kind == CallKind.SAME_KEY) null else content?.let(::decodeBody)
+    return FinishedCall(started, body, resultOf(finished, text))
+}
