--- a/core/src/main/kotlin/lavendertrail/reducer/MembershipEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/MembershipEvents.kt
@@ -69,11 +69,13 @@
     public val records: List<HistoryRecord>,
 ) : Event
 
+/** [journalNode] is the one at which the recovery failed, where it was one of the nodes that should hold a copy. */
 @Serializable
 public data class PartitionRecoveryFailed(
     public val partition: PartitionId,
     public val epoch: Long,
     public val error: String,
+    public val journalNode: NodeId? = null,
 ) : Event
 
 /** The process was asked to stop. */
--- a/node/src/main/kotlin/lavendertrail/journal/JournalCopy.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalCopy.kt
@@ -105,7 +105,7 @@
      */
     private fun continueCopy(request: JournalAppend): JournalAnswer {
         notSealedFor(request.epoch, request.attempt)?.let { return it }
-        storage.damage?.let { return JournalAnswer.Failed(it.toString()) }
+        storage.damage?.let { return damaged(it) }
         val refused = write(request.entries)
         if (refused != null) return refused
         if (!storage.state.complete && request.entries.isNotEmpty()) markComplete()
@@ -115,8 +115,8 @@
     private fun rebuild(request: JournalAppend): JournalAnswer {
         raiseSeal(request.epoch, request.attempt)
         if (storage.state.complete) storage.save(storage.state.copy(complete = false))
-        request.truncateTo?.let { cut(it) }
-        storage.damage?.let { return JournalAnswer.Failed(it.toString()) }
+        request.truncateTo?.let { if (request.create) storage.restart(it) else cut(it) }
+        storage.damage?.let { return damaged(it) }
         return write(request.entries) ?: answer()
     }
 
@@ -132,7 +132,7 @@
         if (conflict != null) return JournalAnswer.Failed("entry ${conflict.second.index} can't follow entry ${conflict.first.index}")
         val held = entries.takeWhile { it.index < storage.nextIndex }
         val different = held.firstOrNull { !holds(it) }
-        if (different != null) return storage.damage?.let { JournalAnswer.Failed(it.toString()) } ?: JournalAnswer.Gap(different.index)
+        if (different != null) return storage.damage?.let { damaged(it) } ?: JournalAnswer.Gap(different.index)
         val added = entries.drop(held.size)
         if (added.isEmpty()) return null
         if (added.first().index > storage.nextIndex) return JournalAnswer.Gap(storage.nextIndex)
@@ -164,9 +164,11 @@
     }
 
     private fun answer(): JournalAnswer =
-        storage.damage?.let { JournalAnswer.Failed(it.toString()) }
+        storage.damage?.let { damaged(it) }
             ?: JournalAnswer.Accepted(storage.nextIndex, storage.lastEpoch, storage.state.complete)
 
+    private fun damaged(damage: CopyDamage) = JournalAnswer.Failed(damage.toString(), damaged = true)
+
     private fun page(
         entries: List<JournalEntry>,
         error: String?,
--- a/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
@@ -19,7 +19,8 @@
  *
  * With [truncateTo] the copy is first cut to that length, which a new owner does to a copy whose tail differs; a copy
  * that doesn't reach to that index, or that starts after it, is emptied and starts there. With [create] a copy that
- * doesn't exist is created. Such a copy counts as incomplete until a [JournalSeal.completeAt] confirms it.
+ * doesn't exist is created, to start at [truncateTo] or 0; with both an existing copy is emptied and starts there. Such
+ * a copy counts as incomplete until a [JournalSeal.completeAt] confirms it.
  */
 @Serializable
 public data class JournalAppend(
@@ -103,9 +104,11 @@
     @SerialName("unknown")
     public data object Unknown : JournalAnswer
 
+    /** With [damaged] the copy accepts nothing until its owner has refilled it; otherwise a repetition may succeed. */
     @Serializable
     @SerialName("failed")
     public data class Failed(
         public val message: String,
+        public val damaged: Boolean = false,
     ) : JournalAnswer
 }
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalReplicator.kt
@@ -0,0 +1,303 @@
+package lavendertrail.journal
+
+import lavendertrail.model.NodeId
+import lavendertrail.model.PartitionId
+import lavendertrail.peer.PeerService
+import lavendertrail.reducer.AppendHistory
+import lavendertrail.reducer.Event
+import lavendertrail.reducer.PartitionRecovered
+import lavendertrail.reducer.PartitionRecoveryFailed
+import lavendertrail.reducer.RecoverPartition
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+private const val REPORT_CHECKS_PER_LIMIT = 4
+private const val ATTEMPTS_PER_ALIGNMENT = 2L
+private const val MAX_BACKOFF_SHIFT = 16
+
+/**
+ * Executes [AppendHistory] and [RecoverPartition] for the partitions that this node owns.
+ *
+ * [peers] gives the service of a journal node, also of this one, or null where no address is known. [emit] is called
+ * from several threads, must return at once and must not call back. An append is acknowledged only when all journal
+ * nodes of the partition have it. docs/history.md argues why nothing acknowledged is lost.
+ *
+ * ```kotlin
+ * val replicator = JournalReplicator(peers::peer, runner::emit)
+ * replicator.recover(RecoverPartition(partition, epoch, sealNodes, journalNodes))   // PartitionRecovered
+ * replicator.append(AppendHistory(partition, epoch, appendId = 1, records))         // HistoryAppended
+ * ```
+ */
+public class JournalReplicator(
+    private val peers: (NodeId) -> PeerService?,
+    private val emit: (Event) -> Unit,
+    private val settings: ReplicatorSettings = ReplicatorSettings(),
+) : AutoCloseable {
+    private val journals = ConcurrentHashMap<PartitionId, PartitionJournal>()
+    private val recoveries = ConcurrentHashMap<PartitionId, Long>()
+
+    // Attempts order the alignments of one epoch, which belongs to one process; so a counter that starts here suffices.
+    private val attempts = AtomicLong(1)
+    private val appendLanes = NodeLanes("journal-append", settings.threadsPerNode)
+    private val recoveryLanes = NodeLanes("journal-recovery", settings.threadsPerNode)
+    private val recoveryPool =
+        Executors.newFixedThreadPool(settings.parallelRecoveries) { Thread(it, "journal-recovery").apply { isDaemon = true } }
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "journal-timer").apply { isDaemon = true } }
+    private val alignment = CopyAlignment(peers, recoveryLanes, settings.pageBytes)
+
+    init {
+        val checkMillis = maxOf(1, settings.reportMillis / REPORT_CHECKS_PER_LIMIT)
+        timer.scheduleWithFixedDelay(::reportLate, checkMillis, checkMillis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Returns at once. Ends in HistoryAppended, or in HistoryAppendFailed with `fenced` where another owner took over. */
+    public fun append(effect: AppendHistory) {
+        val journal = journals[effect.partition]
+        if (journal == null) {
+            emit(effect.fenced("partition ${effect.partition} is not recovered at this node"))
+            return
+        }
+        journal.add(effect, System.nanoTime())
+        start(journal)
+    }
+
+    /** Returns at once. Ends in PartitionRecovered or PartitionRecoveryFailed. Appends of an earlier epoch end as fenced. */
+    public fun recover(effect: RecoverPartition) {
+        val attempt = nextAttempt()
+        recoveries[effect.partition] = attempt
+        journals.remove(effect.partition)?.close("superseded by the recovery at epoch ${effect.epoch}")
+        try {
+            recoveryPool.execute { runRecovery(effect, attempt) }
+        } catch (_: RejectedExecutionException) {
+            emit(PartitionRecoveryFailed(effect.partition, effect.epoch, "the replicator is closed"))
+        }
+    }
+
+    /** Forgets the partition; what is not acknowledged yet ends as fenced. */
+    public fun release(partition: PartitionId) {
+        recoveries.remove(partition)
+        journals.remove(partition)?.close("partition $partition was released")
+    }
+
+    /**
+     * Removes segments whose programs all ended before [endedBeforeMillis] from the copies of an owned partition. Reads
+     * the whole journal once, so call it seldom. Returns the index below which entries may go, or null where the
+     * partition isn't owned or can't be read.
+     */
+    public fun reclaim(
+        partition: PartitionId,
+        endedBeforeMillis: Long,
+    ): Long? {
+        val journal = journals[partition] ?: return null
+        val bound = ReclaimBound(endedBeforeMillis)
+        val read = journal.nodes.firstOrNull { node -> readAcknowledged(journal, node, bound) } ?: return null
+        val request = JournalReclaim(partition, journal.epoch, journal.attempt, bound.beforeIndex)
+        for (node in journal.nodes) {
+            val answer = runCatching { peers(node)?.reclaimJournal(request) }
+            if (answer.getOrNull() !is JournalAnswer.Accepted) {
+                Logger.warn {
+                    "journal: reclaim of $partition at $node: $answer, read at $read"
+                }
+            }
+        }
+        return bound.beforeIndex
+    }
+
+    public fun status(): List<ReplicatedPartitionStatus> = journals.values.map { it.status() }.sortedBy { it.partition }
+
+    override fun close() {
+        timer.shutdownNow()
+        recoveryPool.shutdownNow()
+        appendLanes.close()
+        recoveryLanes.close()
+    }
+
+    private fun nextAttempt() = attempts.getAndAdd(ATTEMPTS_PER_ALIGNMENT)
+
+    private fun start(journal: PartitionJournal) {
+        journal.copiesToStart().forEach { copy -> appendLanes.run(copy.node) { send(journal, copy) } }
+    }
+
+    private fun send(
+        journal: PartitionJournal,
+        copy: CopyProgress,
+    ) {
+        while (true) {
+            val batch = journal.nextBatch(copy, settings.maxBatchBytes, settings.maxBatchEntries) ?: return
+            val answer =
+                try {
+                    val service = peers(copy.node)
+                    service?.appendJournal(batch) ?: JournalAnswer.Failed("no address of ${copy.node} is known")
+                } catch (e: Exception) {
+                    JournalAnswer.Failed(e.message ?: e.toString())
+                }
+            if (!handle(journal, copy, batch, answer)) return
+        }
+    }
+
+    /** Returns whether the next batch may be sent at once. */
+    private fun handle(
+        journal: PartitionJournal,
+        copy: CopyProgress,
+        batch: JournalAppend,
+        answer: JournalAnswer,
+    ): Boolean {
+        when (answer) {
+            is JournalAnswer.Accepted -> journal.accepted(copy, batch)
+            is JournalAnswer.Fenced -> fence(journal, "copy at ${copy.node} is sealed at epoch ${answer.sealedEpoch}")
+            is JournalAnswer.Gap -> retryLater(journal, copy, "copy ends at ${answer.nextIndex}", repair = true)
+            is JournalAnswer.Unknown -> retryLater(journal, copy, UNKNOWN_COPY, repair = false)
+            is JournalAnswer.Failed -> retryLater(journal, copy, answer.message, repair = answer.damaged)
+        }
+        return answer is JournalAnswer.Accepted
+    }
+
+    private fun fence(
+        journal: PartitionJournal,
+        reason: String,
+    ) {
+        journals.remove(journal.partition, journal)
+        journal.close(reason)
+    }
+
+    private fun retryLater(
+        journal: PartitionJournal,
+        copy: CopyProgress,
+        error: String,
+        repair: Boolean,
+    ) {
+        val failures = journal.failed(copy, error, repair) ?: return
+        if (failures == 1) Logger.warn { "journal: append to ${journal.partition} at ${copy.node} failed: $error" }
+        afterBackoff(failures) {
+            if (journal.needsRepair) startRepair(journal) else appendLanes.run(copy.node) { send(journal, copy) }
+        }
+    }
+
+    private fun afterBackoff(
+        failures: Int,
+        work: () -> Unit,
+    ) {
+        val millis = minOf(settings.maxRetryMillis, settings.minRetryMillis shl minOf(failures - 1, MAX_BACKOFF_SHIFT))
+        try {
+            timer.schedule(work, millis, TimeUnit.MILLISECONDS)
+        } catch (_: RejectedExecutionException) {
+            // The replicator is closed; nothing is acknowledged any more.
+        }
+    }
+
+    private fun startRepair(
+        journal: PartitionJournal,
+        failures: Int = 0,
+    ) {
+        if (journals[journal.partition] !== journal || !journal.beginRepair()) return
+        try {
+            recoveryPool.execute { repair(journal, failures) }
+        } catch (_: RejectedExecutionException) {
+            // The replicator is closed; nothing is acknowledged any more.
+        }
+    }
+
+    /** Makes the copies of an active journal equal again: one of them lost its tail or is damaged. */
+    private fun repair(
+        journal: PartitionJournal,
+        failures: Int,
+    ) {
+        val attempt = nextAttempt()
+        val request = AlignmentRequest(journal.partition, journal.epoch, attempt, journal.nodes, journal.nodes, mayCreate = false)
+        try {
+            val content = alignment.align(request)
+            journal.repaired(request.finalAttempt, content)
+            Logger.info { "journal: copies of ${journal.partition} are equal again at length ${content.nextIndex}" }
+            start(journal)
+        } catch (e: AlignmentException) {
+            if (e.sealedEpoch != null) fence(journal, e.message.orEmpty()) else repairLater(journal, failures, e)
+        } catch (e: Exception) {
+            repairLater(journal, failures, e)
+        }
+    }
+
+    private fun repairLater(
+        journal: PartitionJournal,
+        failures: Int,
+        cause: Exception,
+    ) {
+        Logger.warn { "journal: repair of ${journal.partition} failed: ${cause.message}" }
+        journal.repairFailed(cause.message.orEmpty(), (cause as? AlignmentException)?.node)
+        afterBackoff(failures + 1) { startRepair(journal, failures + 1) }
+    }
+
+    private fun runRecovery(
+        effect: RecoverPartition,
+        attempt: Long,
+    ) {
+        val event =
+            try {
+                recovered(effect, attempt)
+            } catch (e: Exception) {
+                PartitionRecoveryFailed(effect.partition, effect.epoch, e.message ?: e.toString(), (e as? AlignmentException)?.node)
+            }
+        emit(event)
+    }
+
+    private fun recovered(
+        effect: RecoverPartition,
+        attempt: Long,
+    ): Event {
+        require(effect.journalNodes.isNotEmpty()) { "recovery of ${effect.partition} needs journal nodes, there were none" }
+        val request = AlignmentRequest(effect.partition, effect.epoch, attempt, effect.sealNodes, effect.journalNodes, mayCreate = true)
+        val content = alignment.align(request)
+        val journal = PartitionJournal(effect.partition, effect.epoch, effect.journalNodes, request.finalAttempt, content.nextIndex, emit)
+        val isLatest =
+            recoveries.computeIfPresent(effect.partition) { _, latest ->
+                latest.also {
+                    if (it ==
+                        attempt
+                    ) {
+                        journals[effect.partition] = journal
+                    }
+                }
+            }
+        if (isLatest != attempt) return PartitionRecoveryFailed(effect.partition, effect.epoch, "superseded by a later request")
+        return PartitionRecovered(effect.partition, effect.epoch, effect.journalNodes, content.entries.map { it.record }.withoutReclaimed())
+    }
+
+    private fun readAcknowledged(
+        journal: PartitionJournal,
+        node: NodeId,
+        bound: ReclaimBound,
+    ): Boolean =
+        try {
+            val service = peers(node)
+            service != null && service.readAll(journal.partition, journal.acknowledgedTo, settings.pageBytes, bound::add)
+        } catch (e: Exception) {
+            Logger.warn { "journal: read of ${journal.partition} at $node failed: ${e.message}" }
+            false
+        }
+
+    private fun reportLate() {
+        val now = System.nanoTime()
+        val limit = TimeUnit.MILLISECONDS.toNanos(settings.reportMillis)
+        journals.values.forEach { it.reportLate(now, limit) }
+    }
+}
+
+/** Passes the entries before [end] to [take]; false where some can't be read. */
+private fun PeerService.readAll(
+    partition: PartitionId,
+    end: Long,
+    pageBytes: Int,
+    take: (JournalEntry) -> Unit,
+): Boolean {
+    var next = readJournal(JournalRead(partition, 0, maxBytes = 1)).firstIndex
+    while (next < end) {
+        val page = readJournal(JournalRead(partition, next, pageBytes))
+        if (page.error != null || page.entries.isEmpty()) return false
+        page.entries.takeWhile { it.index < end }.forEach(take)
+        next = page.entries.last().index + 1
+    }
+    return true
+}
