--- /dev/null
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/DecisionMeasurements.kt
@@ -0,0 +1,92 @@
+package lavendertrail.capacity
+
+private const val WARM_UP_CALLS = 3_000
+private const val MEASURED_CALLS = 2_000
+private const val TEXT_BYTES = 600
+private const val TARGET_SERVERS = 600
+private const val TARGET_PROGRAMS = 300
+
+/** Processor time and allocation of the decisions of one whole call, over programs held and over backend servers. */
+internal fun measureDecisions(): List<Measurement> {
+    warmUp()
+    val programs = listOf(75, 150, 300, 600, 1_200).map { it to costPerCall(programs = it, servers = TARGET_SERVERS) }
+    val servers = listOf(75, 150, 300, 600, 1_200).map { it to costPerCall(programs = TARGET_PROGRAMS, servers = it) }
+    return listOf(
+        measurement("decisions of one call, processor time", "programs held", "µs", programs.map { it.first to it.second.cpuMicros }),
+        measurement("decisions of one call, allocation", "programs held", "bytes", programs.map { it.first to it.second.allocatedBytes }),
+        measurement("decisions of one call, processor time", "backend servers", "µs", servers.map { it.first to it.second.cpuMicros }),
+        measurement("decisions of one call, allocation", "backend servers", "bytes", servers.map { it.first to it.second.allocatedBytes }),
+        measurement("tick without work, processor time", "programs held", "µs", programs.map { it.first to it.second.tickMicros }),
+    )
+}
+
+private data class CallCost(
+    val cpuMicros: Double,
+    val allocatedBytes: Double,
+    val tickMicros: Double,
+)
+
+private fun warmUp() {
+    val driver = DecisionDriver(servers = 100)
+    val programs = (1..50).map(driver::open)
+    repeat(WARM_UP_CALLS) { driver.call(programs[it % programs.size], TEXT_BYTES) }
+    repeat(WARM_UP_CALLS) { driver.tick() }
+}
+
+private fun costPerCall(
+    programs: Int,
+    servers: Int,
+): CallCost {
+    val driver = DecisionDriver(servers)
+    val opened = (1..programs).map(driver::open)
+    repeat(MEASURED_CALLS) { driver.call(opened[it % programs], TEXT_BYTES) }
+    val calls = measureThread { repeat(MEASURED_CALLS) { driver.call(opened[it % programs], TEXT_BYTES) } }
+    val ticks = measureThread { repeat(MEASURED_CALLS) { driver.tick() } }
+    return CallCost(
+        cpuMicros = calls.cpuNanos / 1_000.0 / MEASURED_CALLS,
+        allocatedBytes = calls.allocatedBytes.toDouble() / MEASURED_CALLS,
+        tickMicros = ticks.cpuNanos / 1_000.0 / MEASURED_CALLS,
+    )
+}
+
+/** Live heap of a node's state over programs, turns, backend servers and configuration records. */
+internal fun measureHeap(): List<Measurement> =
+    listOf(
+        measurement("live heap of the state", "programs of 10 turns", "bytes", heapOver(listOf(100, 200, 400, 800), 10)),
+        measurement(
+            "live heap of the state, 50 programs",
+            "turns of each",
+            "bytes",
+            listOf(10, 20, 40, 80).map { turns -> turns to heapOf { driverWith(50, turns) } },
+        ),
+        measurement(
+            "live heap of the state, with its records",
+            "backend servers",
+            "bytes",
+            listOf(150, 300, 600, 1_200).map { servers -> servers to heapOf { DecisionDriver(servers) } },
+        ),
+    )
+
+private fun heapOver(
+    programs: List<Int>,
+    turns: Int,
+): List<Pair<Int, Double>> = programs.map { it to heapOf { driverWith(it, turns) } }
+
+private fun driverWith(
+    programs: Int,
+    turns: Int,
+): DecisionDriver {
+    val driver = DecisionDriver(servers = 50)
+    val opened = (1..programs).map(driver::open)
+    repeat(turns) { opened.forEach { program -> driver.call(program, TEXT_BYTES) } }
+    return driver
+}
+
+private fun heapOf(build: () -> Any): Double {
+    val before = liveHeapBytes()
+    val held = build()
+    val after = liveHeapBytes()
+    java.lang.ref.Reference
+        .reachabilityFence(held)
+    return (after - before).toDouble()
+}
