--- a/node/src/main/kotlin/lavendertrail/node/AttemptExecutor.kt
+++ b/node/src/main/kotlin/lavendertrail/node/AttemptExecutor.kt
@@ -27,6 +27,7 @@
     private val background: Background,
     private val state: () -> NodeState,
     private val emit: (Event) -> Unit,
+    private val gate: PauseGate = PauseGate(),
     private val clock: () -> Long = System::currentTimeMillis,
 ) {
     /** Makes room for the text of the attempt, so that callers can be attached before it is sent. */
@@ -76,6 +77,7 @@
         val text = StringBuilder()
         val answer =
             engine.generate(effect.toGenerateRequest(body)) { chunk ->
+                gate.pass()
                 if (text.isEmpty()) emit(CallFirstToken(effect.call, effect.attempt))
                 text.append(chunk)
                 hub.append(effect.call, effect.attempt, chunk)
--- a/node/src/main/kotlin/lavendertrail/node/Background.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Background.kt
@@ -12,6 +12,7 @@
 /** Threads for everything that blocks. Faults of a task are logged under the name of its step and don't end the thread. */
 internal class Background(
     name: String,
+    private val gate: PauseGate = PauseGate(),
 ) : Executor,
     AutoCloseable {
     private val pool = Executors.newCachedThreadPool(daemonThreads("$name-work"))
@@ -66,7 +67,10 @@
         task: () -> Unit,
     ) {
         try {
+            gate.pass()
             task()
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
         } catch (fault: RuntimeException) {
             if (!pool.isShutdown) Logger.warn(fault, "node: $step failed")
         }
--- a/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -27,9 +27,11 @@
     private val journal: JournalStore?,
     private val emit: (Event) -> Unit,
     private val dumpState: () -> String,
+    private val gate: PauseGate = PauseGate(),
     private val clock: () -> Long = System::currentTimeMillis,
 ) : PeerService {
     override fun probe(message: ProbeMessage): ProbeMessage {
+        gate.pass()
         emit(ProbeReceived(message))
         return state().probeMessage(clock())
     }
@@ -38,18 +40,19 @@
         request: SubmitRequest,
         onReply: (SubmitReply) -> Unit,
     ) {
+        gate.pass()
         val deadlineMillis = (request as? SubmitRequest.Call)?.request?.deadlineMillis ?: (clock() + REQUEST_MILLIS)
         owner.submit(request, deadlineMillis + GRACE_MILLIS - clock(), onReply)
     }
 
-    override fun appendJournal(request: JournalAppend): JournalAnswer = journal?.append(request) ?: JournalAnswer.Unknown
+    override fun appendJournal(request: JournalAppend): JournalAnswer = passed()?.append(request) ?: JournalAnswer.Unknown
 
-    override fun sealJournal(request: JournalSeal): JournalAnswer = journal?.seal(request) ?: JournalAnswer.Unknown
+    override fun sealJournal(request: JournalSeal): JournalAnswer = passed()?.seal(request) ?: JournalAnswer.Unknown
 
     override fun readJournal(request: JournalRead): JournalPage =
-        journal?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
+        passed()?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
 
-    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = journal?.reclaim(request) ?: JournalAnswer.Unknown
+    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = passed()?.reclaim(request) ?: JournalAnswer.Unknown
 
     override fun fetchConfig(afterRevision: Long): ConfigPage {
         val config = state().config
@@ -63,6 +66,11 @@
 
     override fun dump(): String = dumpState()
 
+    private fun passed(): JournalStore? {
+        gate.pass()
+        return journal
+    }
+
     private companion object {
         const val REQUEST_MILLIS = 30_000L
         const val GRACE_MILLIS = 2_000L
--- a/node/src/main/kotlin/lavendertrail/node/Runner.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Runner.kt
@@ -27,6 +27,7 @@
     private val clock: () -> Long = System::currentTimeMillis,
     private val random: SplittableRandom = SplittableRandom(),
     private val recorder: EventRecorder? = null,
+    private val gate: PauseGate = PauseGate(),
     private val observe: (NodeState) -> Unit = {},
     private val execute: (List<Effect>) -> Unit,
 ) : AutoCloseable {
@@ -42,10 +43,6 @@
     @Volatile
     private var stopped = false
 
-    /** While true, no event is applied; stands for a process that is frozen. */
-    @Volatile
-    var paused: Boolean = false
-
     fun start() {
         recorder?.begin(state)
         thread.start()
@@ -70,7 +67,7 @@
             try {
                 val waitNanos = nextTick - System.nanoTime()
                 val event = if (waitNanos > 0) queue.poll(waitNanos, TimeUnit.NANOSECONDS) else null
-                awaitResume()
+                gate.pass()
                 if (event != null) apply(event)
                 if (System.nanoTime() >= nextTick) {
                     apply(Tick)
@@ -82,10 +79,6 @@
         }
     }
 
-    private fun awaitResume() {
-        while (paused && !stopped) Thread.sleep(PAUSE_POLL_MILLIS)
-    }
-
     /** A fault in a sub-reducer must not end the node: the event is dropped, counted and logged, the state stays. */
     private fun apply(event: Event) {
         val timed = TimedEvent(clock(), random.nextLong(), event)
@@ -107,6 +100,5 @@
 
     private companion object {
         const val CLOSE_WAIT_MILLIS = 2_000L
-        const val PAUSE_POLL_MILLIS = 10L
     }
 }
--- a/ports/src/main/kotlin/lavendertrail/http/HttpBinding.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpBinding.kt
@@ -1,7 +1,10 @@
 package lavendertrail.http
 
-/** Where a server listens. Port 0 takes any free port. */
+import javax.net.ssl.SSLContext
+
+/** Where a server listens. Port 0 takes any free port. With [tls] the server speaks HTTPS only. */
 public data class HttpBinding(
     public val ip: String,
     public val port: Int,
+    public val tls: SSLContext? = null,
 )
--- a/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
@@ -57,7 +57,7 @@
     val undertow =
         Undertow
             .builder()
-            .addHttpListener(binding.port, binding.ip)
+            .addListener(binding)
             .setWorkerThreads(limits.workerThreads)
             .setIoThreads(limits.ioThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes)
@@ -82,6 +82,13 @@
     }
 }
 
+private fun Undertow.Builder.addListener(binding: HttpBinding): Undertow.Builder =
+    if (binding.tls == null) {
+        addHttpListener(binding.port, binding.ip)
+    } else {
+        addHttpsListener(binding.port, binding.ip, binding.tls)
+    }
+
 private fun MutableSet<ServerConnection>.track(connection: ServerConnection) {
     if (add(connection)) connection.addCloseListener { remove(it) }
 }
