--- a/core/src/main/kotlin/lavendertrail/bill/Bill.kt
+++ b/core/src/main/kotlin/lavendertrail/bill/Bill.kt
@@ -99,17 +99,39 @@
     records: List<HistoryRecord>,
 ): BillLine {
     val opened = records.firstNotNullOfOrNull { it.payload as? HistoryPayload.Opened }
-    val settled = records.mapNotNull { it.payload as? HistoryPayload.Settled }.associateBy { it.position }
-    val finished = records.mapNotNull { it.payload as? HistoryPayload.CallFinished }
+    val used = usageByRecord(records)
     return BillLine(
         program = program,
         owner = opened?.spec?.owner,
         account = opened?.spec?.account,
-        calls = finished.size,
-        usage = finished.fold(Usage()) { sum, call -> sum + (settled[call.position]?.usage ?: call.usage) },
+        calls = used.size,
+        usage = used.values.fold(Usage()) { sum, usage -> sum + usage },
     )
 }
 
+/** Use of each finished call by its record's sequence. A position that was refused and used again has several records. */
+private fun usageByRecord(records: List<HistoryRecord>): Map<Int, Usage> {
+    val used = linkedMapOf<Int, Usage>()
+    val lastOf = mutableMapOf<Int, Int>()
+    for (record in records) {
+        when (val payload = record.payload) {
+            is HistoryPayload.CallFinished -> {
+                used[record.sequence] = payload.usage
+                lastOf[payload.position] = record.sequence
+            }
+
+            is HistoryPayload.Settled -> {
+                lastOf[payload.position]?.let { used[it] = payload.usage }
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+    return used
+}
+
 private fun <K : Any> List<BillLine>.sumBy(key: (BillLine) -> K?): Map<K, Usage> =
     filter { key(it) != null }
         .groupBy { checkNotNull(key(it)) }
--- /dev/null
+++ b/core/src/test/kotlin/lavendertrail/program/ProgramPromises.kt
@@ -0,0 +1,256 @@
+package lavendertrail.program
+
+import lavendertrail.history.HistoryPayload
+import lavendertrail.history.HistoryRecord
+import lavendertrail.model.Budget
+import lavendertrail.model.CallId
+import lavendertrail.model.CallResult
+import lavendertrail.model.ProgramId
+import lavendertrail.model.RefusalReason
+import lavendertrail.model.RunOutcome
+import lavendertrail.reducer.AnswerCall
+import lavendertrail.reducer.AnswerFromHistory
+
+/** A promise of the program reducer that a schedule broke. [checker] names the check that saw it. */
+internal class BrokenPromise(
+    val checker: String,
+    message: String,
+) : AssertionError("$checker: $message")
+
+/**
+ * Checks what callers and backend servers see against the promises, from the trace alone: it shares no code with the
+ * reducer but the record types.
+ */
+internal class ProgramPromises {
+    lateinit var copies: List<List<HistoryRecord>>
+    lateinit var currentOwner: () -> Owner
+    lateinit var budgets: Map<ProgramId, Budget>
+    private val asked = mutableMapOf<Long, Asked>()
+    private val dispatchesByKey = mutableMapOf<String, Int>()
+    private val executedStarts = mutableSetOf<Pair<ProgramId, Int>>()
+    private val executedKeys = mutableSetOf<String>()
+    private val texts = mutableMapOf<CallId, String>()
+    val seen = mutableMapOf<String, Int>()
+
+    fun asked(
+        requestId: Long,
+        request: Asked,
+    ) {
+        asked[requestId] = request
+    }
+
+    fun gone(requestId: Long) {
+        asked[requestId]?.gone = true
+    }
+
+    fun nextPosition(program: ProgramId): Int =
+        copies[0]
+            .filter { it.program == program }
+            .mapNotNull { (it.payload as? HistoryPayload.CallFinished)?.position }
+            .maxOfOrNull { it + 1 } ?: 0
+
+    fun moved(
+        from: Owner,
+        to: Owner,
+    ) = asked.filterValues { it.owner === from && it.answer == null }.forEach { (id, before) ->
+        asked[id] =
+            Asked(to, before.request).also {
+                it.start = before.start
+                it.gone = before.gone
+            }
+    }
+
+    fun appended(
+        owner: Owner,
+        records: List<HistoryRecord>,
+    ) {
+        for (record in records) {
+            val started = record.payload as? HistoryPayload.CallStarted ?: continue
+            val call = CallId(record.program, started.position)
+            val waiting =
+                asked.values.filter {
+                    it.owner === owner &&
+                        it.answer == null &&
+                        it.request.call == call &&
+                        bodySha256(it.request.body) == started.bodySha256
+                }
+            check("start without request", waiting.isNotEmpty()) { "$call was started, and nobody had asked for it" }
+            waiting.forEach { it.start = record.sequence }
+        }
+    }
+
+    fun dispatched(sent: Sent) {
+        count(if (sent.call.recovered) "dispatched again" else "dispatched")
+        val call = sent.call.call
+        check("durable start", copies.all { copy -> copy.any { it.program == call.program && it.sequence == sent.start } }) {
+            "$call was dispatched before its start was on both copies"
+        }
+        val finished = copies[0].filter { it.program == call.program && it.sequence < sent.start }
+        val before = finished.mapNotNull { (it.payload as? HistoryPayload.CallFinished)?.position }
+        check("order", (0 until call.position).all { it in before }) { "$call was dispatched before the calls before it had outcomes" }
+        val key = sent.call.key ?: return
+        if (sent.call.repeatable || sent.call.resumeOnly) return
+        val finishedNotRun = notRunStarts(key)
+        val times = dispatchesByKey.merge(key, 1, Int::plus) ?: 1
+        check("at most once", times - finishedNotRun <= 1) { "$key was dispatched $times times, $finishedNotRun of them not run" }
+    }
+
+    private fun notRunStarts(key: String): Int {
+        val starts = mutableMapOf<CallId, String?>()
+        return copies[0].count { record ->
+            val payload = record.payload
+            if (payload is HistoryPayload.CallStarted) starts[CallId(record.program, payload.position)] = payload.key
+            payload is HistoryPayload.CallFinished &&
+                payload.outcome == RunOutcome.NOT_RUN &&
+                payload.attempts > 0 &&
+                starts[CallId(record.program, payload.position)] == key
+        }
+    }
+
+    fun executed(sent: Sent) {
+        val key = sent.call.key?.takeUnless { sent.call.repeatable }
+        check("executed once", key == null || executedKeys.add(key)) { "$key was executed twice" }
+        executedStarts += sent.call.call.program to sent.start
+        asked.values.filter { it.request.call == sent.call.call }.forEach(::checkNotRun)
+    }
+
+    fun wasExecuted(key: String?): Boolean = key in executedKeys
+
+    fun answered(
+        requestId: Long,
+        result: CallResult,
+        owner: Owner,
+    ) {
+        val request = asked[requestId] ?: return
+        check("one answer", request.answer == null) { "request $requestId was answered twice" }
+        check("own answer", request.owner === owner) { "request $requestId was answered by another node" }
+        request.answer = result
+        count(if (result is CallResult.Refused) "${result.refusal.outcome} ${result.refusal.reason}" else "answered")
+        if (result is CallResult.Answered) checkDurable(request.request.call, result)
+        checkNotRun(request)
+    }
+
+    private fun checkDurable(
+        call: CallId,
+        result: CallResult.Answered,
+    ) {
+        texts.merge(call, result.text) { first, _ -> first }
+        check("first outcome", texts[call] == result.text) { "$call was answered '${texts[call]}' and then '${result.text}'" }
+        check(
+            "durable answer",
+            copies.all { it.answerOf(it.firstWithKeyOf(call)) == result.text },
+        ) { "$call was answered before its outcome was on both copies" }
+    }
+
+    /** A call whose key was used before shares the answer of the first call with that key. */
+    private fun List<HistoryRecord>.firstWithKeyOf(call: CallId): CallId =
+        mapNotNull { record -> (record.payload as? HistoryPayload.CallStarted)?.takeIf { record.program == call.program } }
+            .lastOrNull { it.position == call.position && it.kind == "sameKey" }
+            ?.let { CallId(ProgramId(it.target.substringBefore('/')), it.target.substringAfter('/').toInt()) } ?: call
+
+    private fun List<HistoryRecord>.answerOf(call: CallId): String? =
+        lastOrNull { record ->
+            val finished = record.payload as? HistoryPayload.CallFinished
+            record.program == call.program && finished?.position == call.position && finished.refusal == null
+        }?.content
+
+    private fun checkNotRun(request: Asked) {
+        val refusal = (request.answer as? CallResult.Refused)?.refusal ?: return
+        if (refusal.outcome != RunOutcome.NOT_RUN) return
+        val start = request.start
+        check("not run", start == null || (request.request.call.program to start) !in executedStarts) {
+            "${request.request.call} was refused as not run and was executed: $refusal"
+        }
+        val other = refusal.reason == RefusalReason.KEY_REUSED || refusal.reason == RefusalReason.POSITION_TAKEN
+        // A former owner doesn't know what the present one runs, so its refusal is about this request only.
+        val unknowing =
+            other ||
+                request.owner !== currentOwner() ||
+                refusal.reason == RefusalReason.NOT_OWNER ||
+                refusal.reason == RefusalReason.UNKNOWN_PROGRAM
+        val key = request.request.key?.takeUnless { unknowing || request.start != null }
+        check("not run by key", key == null || key !in executedKeys || request.checkedKey) {
+            "${request.request.call} was refused as not run and its key $key was executed: $refusal"
+        }
+        request.checkedKey = true
+    }
+
+    /** [replayed] has read the final journal on a fresh node. */
+    fun checkEnd(replayed: ProgramBench) {
+        val open = asked.filterValues { it.answer == null && !it.gone }
+        check("every request answered", open.isEmpty()) { "no answer for ${open.map { "${it.key} ${it.value.request.call}" }}" }
+        checkBudgets()
+        texts.entries.forEachIndexed { index, (call, text) -> checkKept(replayed, 1_000_000L + index, call, text) }
+    }
+
+    private fun checkKept(
+        replayed: ProgramBench,
+        requestId: Long,
+        call: CallId,
+        text: String,
+    ) {
+        val first = asked.values.first { it.request.call == call && (it.answer as? CallResult.Answered)?.text == text }
+        replayed.submit(requestId, first.request.copy(deadlineMillis = Long.MAX_VALUE))
+        val stored =
+            replayed.effects
+                .filterIsInstance<AnswerCall>()
+                .singleOrNull { it.requestId == requestId }
+                ?.result
+        val read =
+            replayed.effects.filterIsInstance<AnswerFromHistory>().singleOrNull { it.requestId == requestId }?.let {
+                storedAnswer({ program -> copies[0].filter { r -> r.program == program } }, it.call, it.bodySha256, it.recordCount)
+            }
+        val kept = (stored ?: read) as? CallResult.Answered
+        check("kept", kept?.text == text) { "$call was answered '$text' and is ${kept?.text} after replay" }
+    }
+
+    /** Adds up reservations and use in the order of the journal, for each program with all of its sub-agents. */
+    private fun checkBudgets() {
+        for ((program, budget) in budgets) {
+            val tokens = mutableMapOf<CallId, Long>()
+            val cost = mutableMapOf<CallId, Long>()
+            var closedTokens = 0L
+            var closedCost = 0L
+            var turns = 0
+            for (record in copies[0].filter { it.program == program || it.program.value.startsWith("$program.") }) {
+                when (val payload = record.payload) {
+                    is HistoryPayload.CallStarted -> {
+                        tokens[CallId(record.program, payload.position)] = payload.reservedTokens
+                        cost[CallId(record.program, payload.position)] = payload.reservedCostMicros
+                        if (payload.kind == "model") turns += 1
+                    }
+
+                    is HistoryPayload.CallFinished -> {
+                        val reserved = tokens.remove(CallId(record.program, payload.position)) ?: 0
+                        if (payload.outcome == RunOutcome.NOT_RUN && reserved > 0) turns -= 1
+                        closedTokens += payload.usage.totalTokens
+                        cost -= CallId(record.program, payload.position)
+                        closedCost += payload.usage.costMicros
+                    }
+
+                    else -> {
+                        Unit
+                    }
+                }
+                check("budget", closedTokens + tokens.values.sum() <= budget.maxTokens) { "$program exceeds ${budget.maxTokens} tokens" }
+                check(
+                    "budget",
+                    closedCost + cost.values.sum() <= budget.maxCostMicros,
+                ) { "$program exceeds ${budget.maxCostMicros} micros" }
+                check("turns", turns <= budget.maxTurns) { "$program exceeds ${budget.maxTurns} turns" }
+            }
+        }
+    }
+
+    private fun count(what: String) {
+        seen.merge(what, 1, Int::plus)
+    }
+
+    private fun check(
+        checker: String,
+        holds: Boolean,
+        message: () -> String,
+    ) {
+        if (!holds) throw BrokenPromise(checker, message())
+    }
+}
