--- a/node/src/main/kotlin/lavendertrail/journal/FileCopyStorage.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileCopyStorage.kt
@@ -2,6 +2,7 @@
 
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
 import java.nio.file.Path
 
 /**
@@ -105,7 +106,7 @@
             openFiles.use(segment.path) { it.force() }
             unflushed = false
         } catch (e: IOException) {
-            flushFailed(e)
+            if (e !is ClosedChannelException) flushFailed(e)
             throw e
         }
     }
--- a/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
@@ -140,7 +140,7 @@
         try {
             if (files.exists(path)) openFiles.use(path) { it.force() }
         } catch (e: IOException) {
-            Logger.error(e) { "journal: flush of partition $partition failed" }
+            Logger.error { "journal: flush of partition $partition failed: ${e.message}" }
             copy.locked { storage.flushFailed(e) }
         }
     }
@@ -151,7 +151,7 @@
             copy.locked { slot.storage?.flush() }
             true
         } catch (e: IOException) {
-            Logger.error(e) { "journal: flush at the end failed" }
+            Logger.error { "journal: flush at the end failed: ${e.message}" }
             false
         }
     }
--- a/node/src/main/kotlin/lavendertrail/journal/JournalFiles.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalFiles.kt
@@ -4,7 +4,6 @@
 import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption
 import java.nio.file.StandardOpenOption
 
 /** One open file. The functions have the meaning of those of [FileChannel]; tests put faults behind them. */
@@ -41,11 +40,6 @@
 
     fun delete(path: Path)
 
-    fun replace(
-        from: Path,
-        to: Path,
-    )
-
     /** Makes created, renamed and deleted names in [directory] durable. */
     fun syncDirectory(directory: Path)
 }
@@ -68,13 +62,6 @@
         Files.deleteIfExists(path)
     }
 
-    override fun replace(
-        from: Path,
-        to: Path,
-    ) {
-        Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-    }
-
     override fun syncDirectory(directory: Path) = FileChannel.open(directory, StandardOpenOption.READ).use { it.force(true) }
 }
 
--- a/node/src/main/kotlin/lavendertrail/journal/OpenFiles.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/OpenFiles.kt
@@ -1,5 +1,6 @@
 package lavendertrail.journal
 
+import java.nio.channels.ClosedChannelException
 import java.nio.file.Path
 
 /**
@@ -27,6 +28,10 @@
         val handle = acquire(path)
         try {
             return work(handle.file)
+        } catch (e: ClosedChannelException) {
+            // An interrupted thread closes the channel that it uses; the next use opens the file again.
+            synchronized(handles) { handles.remove(path, handle) }
+            throw e
         } finally {
             synchronized(handles) { handle.users-- }
         }
--- a/node/src/main/kotlin/lavendertrail/journal/Segment.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/Segment.kt
@@ -25,6 +25,7 @@
     var lastEpoch = 0L
         private set
     private var scanned = false
+    private var shortfall: CopyDamage? = null
     private var offsets = LongArray(1)
     private var offsetCount = 0
 
@@ -58,13 +59,14 @@
         }
     }
 
-    /** Passes entries from [fromIndex] on to [take] until it returns false; returns the damage that ended the reading. */
+    /** Passes entries from [fromIndex] on to [take] until it returns false; returns damage that was found, also behind them. */
     fun read(
         file: JournalFile,
         fromIndex: Long,
         take: (JournalEntry, Int) -> Boolean,
     ): CopyDamage? {
-        scanIfNeeded(file)?.let { if (fromIndex >= it.fromIndex) return it }
+        val damage = scanIfNeeded(file)
+        if (damage != null && fromIndex >= damage.fromIndex) return damage
         val reader = FrameReader(file, minOf(sizeBytes, file.size()))
         var offset = startOffset(fromIndex)
         var index = startIndex(fromIndex)
@@ -74,12 +76,12 @@
             if (index >= fromIndex) {
                 val entry = decodeEntryOrNull(frame.payload)
                 if (entry?.index != index) return CopyDamage(index, "no entry $index at byte $offset")
-                if (!take(entry, frame.payload.size)) return null
+                if (!take(entry, frame.payload.size)) return damage
             }
             offset = frame.nextOffset
             index++
         }
-        return null
+        return damage
     }
 
     /** Cuts the segment before entry [to]; the caller cuts the file to the new [sizeBytes]. */
@@ -100,6 +102,7 @@
         lastEpoch = kept.lastEpoch
         offsets = kept.offsets
         offsetCount = kept.offsetCount
+        shortfall = null
     }
 
     fun added(
@@ -118,11 +121,12 @@
 
     /** Returns the damage where the file holds fewer whole entries than assumed. */
     fun scanIfNeeded(file: JournalFile): CopyDamage? {
-        if (scanned) return null
+        if (scanned) return shortfall
         val assumed = nextIndex
         val tail = scan(file)
-        if (nextIndex >= assumed && tail.corrupt == null && !tail.torn) return null
-        return CopyDamage(nextIndex, tail.corrupt ?: "segment ${path.fileName} ends before entry $assumed")
+        val isWhole = nextIndex >= assumed && tail.corrupt == null && !tail.torn
+        if (!isWhole) shortfall = CopyDamage(nextIndex, tail.corrupt ?: "segment ${path.fileName} ends before entry $assumed")
+        return shortfall
     }
 
     private fun startOffset(index: Long) = offsets[((index - base) / OFFSET_STEP).toInt()]
--- /dev/null
+++ b/node/src/test/kotlin/lavendertrail/journal/FileJournalStoreTest.kt
@@ -0,0 +1,328 @@
+package lavendertrail.journal
+
+import org.junit.jupiter.api.io.TempDir
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.fileSize
+import kotlin.io.path.name
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Small segments, so that a few entries need several; flushed only by what must be durable at once. */
+private val settings = JournalSettings(segmentBytes = 2_000, fsyncIntervalMillis = 3_600_000)
+
+internal class FileJournalStoreTest : JournalStoreContract() {
+    @TempDir
+    lateinit var folder: Path
+
+    @TempDir
+    lateinit var copies: Path
+
+    override fun newStore() = open(Files.createTempDirectory(folder, "store"))
+
+    private fun open(
+        folder: Path,
+        files: JournalFiles = DiskFiles,
+        settings: JournalSettings = lavendertrail.journal.settings,
+        bootId: String = "boot-1",
+    ) = FileJournalStore(folder, settings, files) { bootId }
+
+    private fun segments(folder: Path) =
+        Files.list(folder.resolve("02a")).use { all ->
+            all
+                .filter {
+                    it.name.endsWith(".seg")
+                }.sorted()
+                .toList()
+        }
+
+    /** The folder as a kill of the process at this moment leaves it. */
+    private fun killed(folder: Path): Path {
+        val copy = Files.createTempDirectory(copies, "killed")
+        Files.walk(folder).use { paths ->
+            paths.filter { it != folder }.forEach { Files.copy(it, copy.resolve(folder.relativize(it).toString())) }
+        }
+        return copy
+    }
+
+    /** Guards against entries, seals or completeness that a restart loses. */
+    @Test
+    fun `a kill after an answer loses nothing`(): Unit =
+        open(folder).use { store ->
+            store.fill(20)
+            store.seal(JournalSeal(partition, 4))
+            open(killed(folder)).use { again ->
+                assertEquals(accepted(20), again.seal(JournalSeal(partition, 4)))
+                assertEquals(JournalAnswer.Fenced(4), again.append(append(20..20L)))
+                assertEquals(entries(0..<20L), again.readAll())
+            }
+        }
+
+    /** Guards against a torn write that is taken for damage, or that hides entries before it. */
+    @Test
+    fun `a last frame torn at any byte is cut off`() {
+        open(folder).use { it.fill(3) }
+        val segment = segments(folder).last()
+        val whole = Files.readAllBytes(segment)
+        val lastStart = frame(encodeEntry(entry(2))).size.let { whole.size - it }
+        for (size in lastStart until whole.size) {
+            Files.write(segment, whole.copyOf(size))
+            open(folder).use { store ->
+                assertEquals(accepted(2), store.seal(JournalSeal(partition, 1)), "torn at byte $size")
+                assertEquals(accepted(3), store.append(append(2..2L)))
+            }
+            assertTrue(whole.contentEquals(Files.readAllBytes(segment)), "torn at byte $size")
+        }
+    }
+
+    /** Guards against flipped bits that go unnoticed, and against damage that a refill doesn't remove. */
+    @Test
+    fun `a flipped bit anywhere is found and refilled`() {
+        val random = Random(7)
+        repeat(120) { round ->
+            val copy = Files.createTempDirectory(folder, "flip")
+            open(copy).use { it.fill(20) }
+            val segment = segments(copy).random(random)
+            val bytes = Files.readAllBytes(segment)
+            val position = random.nextInt(bytes.size)
+            bytes[position] = (bytes[position].toInt() xor (1 shl random.nextInt(8))).toByte()
+            Files.write(segment, bytes)
+            open(copy).use { store ->
+                val readable = store.readAll()
+                val where = "round $round, byte $position of ${segment.name}"
+                assertTrue(readable.size < 20, where)
+                assertEquals(entries(0..<readable.size.toLong()), readable, where)
+                assertIs<JournalAnswer.Failed>(store.append(append(20..20L)), where)
+                assertIs<JournalAnswer.Failed>(store.seal(JournalSeal(partition, 2)), where)
+                val from = readable.size.toLong()
+                val refill = JournalAppend(partition, 2, entries(from..<20L), truncateTo = from)
+                assertEquals(accepted(20, complete = false), store.append(refill), where)
+                assertEquals(accepted(20), store.seal(JournalSeal(partition, 2, completeAt = 20)), where)
+            }
+            open(copy).use { assertEquals(entries(0..<20L), it.readAll()) }
+        }
+    }
+
+    /** Guards against partial frames left by a full disk, and against a full disk that can't be sealed. */
+    @Test
+    fun `a full disk refuses entries but accepts seals`() {
+        for (torn in listOf(0, 1, 11, 12, 100)) {
+            var full = false
+            val files =
+                FaultyFiles { operation, path ->
+                    if (full &&
+                        operation == "write" &&
+                        path.name.endsWith(".seg")
+                    ) {
+                        Fault.Torn(torn)
+                    } else {
+                        Fault.None
+                    }
+                }
+            val copy = Files.createTempDirectory(folder, "full")
+            open(copy, files).use { store ->
+                store.fill(3)
+                val size = segments(copy).last().fileSize()
+                full = true
+                assertIs<JournalAnswer.Failed>(store.append(append(3..3L)))
+                assertEquals(size, segments(copy).last().fileSize())
+                assertEquals(accepted(3), store.seal(JournalSeal(partition, 1)))
+                full = false
+                assertEquals(accepted(4), store.append(append(3..3L)))
+            }
+        }
+    }
+
+    /** Guards against a part of a frame that stays where the failed write can't be undone at once. */
+    @Test
+    fun `a cut that fails is repeated before the next append`() {
+        var full = false
+        val files =
+            FaultyFiles { operation, _ ->
+                if (!full) {
+                    Fault.None
+                } else if (operation ==
+                    "write"
+                ) {
+                    Fault.Torn(30)
+                } else if (operation == "truncate") {
+                    Fault.Fails
+                } else {
+                    Fault.None
+                }
+            }
+        open(folder, files).use { store ->
+            store.fill(3)
+            full = true
+            assertIs<JournalAnswer.Failed>(store.append(append(3..3L)))
+            full = false
+            assertEquals(accepted(4), store.append(append(3..3L)))
+            assertEquals(entries(0..3L), store.readAll())
+        }
+    }
+
+    /** Guards against frames cut by writes that take only some of the bytes. */
+    @Test
+    fun `short writes are continued`() {
+        val files = FaultyFiles { operation, _ -> if (operation == "write") Fault.Short(7) else Fault.None }
+        open(folder, files).use { store ->
+            store.fill(20)
+            assertEquals(entries(0..<20L), store.readAll())
+        }
+    }
+
+    /** Guards against any order of steps that a crash makes unreadable: each operation on a file is once the last one. */
+    @Test
+    fun `a crash at any step keeps what was accepted`() {
+        var last = 0
+        while (true) {
+            val copy = Files.createTempDirectory(folder, "crash")
+            var left = last++
+            val files =
+                FaultyFiles { operation, _ ->
+                    if (left-- > 0) {
+                        Fault.None
+                    } else if (operation == "write" && left == -1) {
+                        Fault.Torn(20)
+                    } else {
+                        Fault.Fails
+                    }
+                }
+            val finished = crashedWorkload(copy, files)
+            if (finished) break
+        }
+        assertTrue(last > 60, "only $last steps were tried")
+    }
+
+    private fun crashedWorkload(
+        copy: Path,
+        files: JournalFiles,
+    ): Boolean {
+        val done = mutableListOf<String>()
+
+        fun step(
+            name: String,
+            answer: JournalAnswer,
+        ) {
+            if (answer is JournalAnswer.Accepted) done += name
+        }
+        val store =
+            try {
+                open(copy, files)
+            } catch (_: IOException) {
+                return false
+            }
+        step("create", store.append(append(0..3L, create = true)))
+        step("fill", store.append(append(4..15L)))
+        step("complete", store.seal(JournalSeal(partition, 1, completeAt = 16)))
+        step("seal", store.seal(JournalSeal(partition, 2)))
+        step("cut", store.append(JournalAppend(partition, 2, entries(6..11L), truncateTo = 6)))
+        step("reset", store.append(JournalAppend(partition, 2, entries(2..8L), truncateTo = 2, create = true)))
+        val after = killed(copy)
+        open(after).use { again ->
+            val seal = again.seal(JournalSeal(partition, 3))
+            val firstIndex = again.read(JournalRead(partition, 0, 1)).firstIndex
+            val read = again.readAll(firstIndex)
+            val where = "after $done: $seal"
+            assertEquals(entries(firstIndex..<firstIndex + read.size), read, where)
+            if ("create" in done) assertIs<JournalAnswer.Accepted>(seal, where)
+            if ("fill" in done && "seal" !in done) assertEquals(16, read.size, where)
+            if ("reset" in done) assertEquals(entries(2..8L), read, where)
+            if ("cut" in done && (seal as JournalAnswer.Accepted).complete) assertEquals(16, read.size, where)
+        }
+        if ("seal" in done) open(killed(copy)).use { assertEquals(JournalAnswer.Fenced(2), it.append(append(16..16L)), "$done") }
+        runCatching { store.close() }
+        return "reset" in done
+    }
+
+    /** Guards against a copy that counts as complete although its host lost entries that were not flushed. */
+    @Test
+    fun `after a loss of power copies are incomplete until they are continued`() {
+        val files = FaultyFiles()
+        val store = open(folder, files, settings.copy(segmentBytes = 100_000))
+        store.fill(5)
+        store.append(append(5..7L))
+        val after = killed(folder)
+        files.losePower()
+        open(killed(folder), bootId = "boot-2").use { assertEquals(accepted(5, complete = false), it.seal(JournalSeal(partition, 1))) }
+        open(after, bootId = "boot-2").use { again ->
+            assertEquals(accepted(8, complete = false), again.seal(JournalSeal(partition, 1)))
+            assertEquals(accepted(9), again.append(append(8..8L)))
+        }
+        store.close()
+        open(killed(folder), bootId = "boot-3").use { assertEquals(true, it.copies().single().complete) }
+    }
+
+    /** Guards against entries that are acknowledged before they are on the disk although the settings ask for it. */
+    @Test
+    fun `with fsync always a loss of power loses nothing`() {
+        val files = FaultyFiles()
+        val store = open(folder, files, settings.copy(fsync = FsyncPolicy.ALWAYS))
+        store.fill(5)
+        store.append(append(5..7L))
+        files.losePower()
+        open(killed(folder), settings = settings.copy(fsync = FsyncPolicy.ALWAYS), bootId = "boot-2").use {
+            assertEquals(accepted(8), it.seal(JournalSeal(partition, 1)))
+        }
+        store.close()
+    }
+
+    /** Guards against appends that wait for the disk, and against a failed flush that is forgotten. */
+    @Test
+    fun `a slow flush holds up no append and a failed one marks the copy`() {
+        var fault: Fault = Fault.None
+        val files = FaultyFiles { operation, path -> if (operation == "force" && path.name.endsWith(".seg")) fault else Fault.None }
+        open(folder, files, JournalSettings(fsyncIntervalMillis = 1)).use { store ->
+            store.fill(5)
+            fault = Fault.Slow(2_000)
+            store.append(append(5..5L))
+            Thread.sleep(50)
+            val start = System.nanoTime()
+            assertEquals(accepted(7), store.append(append(6..6L)))
+            assertTrue(System.nanoTime() - start < 1_000_000_000, "append waited for a flush")
+            fault = Fault.Fails
+            val failed = (1..500).firstOrNull { Thread.sleep(10).let { _ -> store.append(append(7..7L)) is JournalAnswer.Failed } }
+            assertTrue(failed != null, "appends go on after a failed flush")
+            fault = Fault.None
+        }
+    }
+
+    /** Guards against two processes that write the same files. */
+    @Test
+    fun `a folder is opened by one store at a time`(): Unit =
+        open(folder).use {
+            assertFailsWith<IllegalStateException> { open(folder) }
+        }
+
+    /** Guards against a node that runs out of file handles with all partitions. */
+    @Test
+    fun `the number of open files is bounded`(): Unit =
+        open(folder, settings = settings.copy(maxOpenFiles = 8)).use { store ->
+            for (index in 0 until 64) {
+                val other = lavendertrail.model.PartitionId(index)
+                store.append(append(0..9L, create = true).copy(partition = other))
+                assertTrue(store.openFileCount <= 8, "${store.openFileCount} files are open")
+                assertEquals(10, store.read(JournalRead(other, 0, 100_000)).entries.size)
+            }
+        }
+
+    /** Guards against a journal that only grows, and against reclaiming what is still needed. */
+    @Test
+    fun `whole segments below the bound are removed`(): Unit =
+        open(folder).use { store ->
+            store.fill(40)
+            val before = segments(folder).size
+            assertEquals(JournalAnswer.Fenced(1), store.reclaim(JournalReclaim(partition, 0, beforeIndex = 25)))
+            assertEquals(accepted(40), store.reclaim(JournalReclaim(partition, 1, beforeIndex = 25)))
+            val first = store.read(JournalRead(partition, 25, 1)).firstIndex
+            assertTrue(first in 1..25 && segments(folder).size < before, "first index $first")
+            assertEquals(entries(first..<40L), store.readAll(first))
+            assertEquals(accepted(40), store.reclaim(JournalReclaim(partition, 1, beforeIndex = 1_000)))
+            assertEquals(accepted(41), store.append(append(40..40L)))
+        }
+}
