--- a/node/src/main/kotlin/lavendertrail/peer/PeerSecurity.kt
+++ b/node/src/main/kotlin/lavendertrail/peer/PeerSecurity.kt
@@ -9,17 +9,18 @@
 import io.grpc.util.AdvancedTlsX509KeyManager
 import io.grpc.util.AdvancedTlsX509TrustManager
 import io.grpc.util.AdvancedTlsX509TrustManager.Verification
-import java.io.Closeable
+import org.tinylog.kotlin.Logger
+import java.io.IOException
 import java.net.InetAddress
+import java.nio.file.Files
 import java.nio.file.Path
+import java.security.GeneralSecurityException
 import java.util.concurrent.Executors
-import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
 /**
  * PEM files for mutual TLS: this node's certificate chain, its PKCS#8 key, and the authority that signs all nodes'.
- * The files are read again when certificate and key, or the authority, have changed; connections made from then on
- * use the new ones. With [verifyAddress] a peer's certificate must name the address that is connected to.
+ * The files are read again when one has changed; connections made from then on use the new ones. With [verifyAddress] a peer's certificate must name the address that is connected to.
  */
 public data class PeerSecurity(
     public val certificate: Path,
@@ -31,21 +32,18 @@
 
 /** Key and trust managers that follow the files of a [PeerSecurity] until closed. */
 internal class TlsFiles(
-    security: PeerSecurity,
+    private val security: PeerSecurity,
     verification: Verification,
 ) : AutoCloseable {
-    private val reloader: ScheduledExecutorService =
-        Executors.newSingleThreadScheduledExecutor { Thread(it, "peer-tls-reload").apply { isDaemon = true } }
-    private val watches = mutableListOf<Closeable>()
-    val keyManager = AdvancedTlsX509KeyManager()
-    val trustManager: AdvancedTlsX509TrustManager = AdvancedTlsX509TrustManager.newBuilder().setVerification(verification).build()
+    private val keyManager = AdvancedTlsX509KeyManager()
+    private val trustManager = AdvancedTlsX509TrustManager.newBuilder().setVerification(verification).build()
+    private val reloader = Executors.newSingleThreadScheduledExecutor { Thread(it, "peer-tls-reload").apply { isDaemon = true } }
+    private var seen = stamp()
+    private var loaded = seen
 
     init {
-        val certificate = security.certificate.toFile()
-        val key = security.privateKey.toFile()
-        watches += keyManager.updateIdentityCredentials(certificate, key, security.reloadMillis, TimeUnit.MILLISECONDS, reloader)
-        watches +=
-            trustManager.updateTrustCredentials(security.authority.toFile(), security.reloadMillis, TimeUnit.MILLISECONDS, reloader)
+        load()
+        reloader.scheduleWithFixedDelay(::reload, security.reloadMillis, security.reloadMillis, TimeUnit.MILLISECONDS)
     }
 
     fun serverCredentials(): ServerCredentials =
@@ -64,9 +62,37 @@
             .build()
 
     override fun close() {
-        watches.forEach { it.close() }
         reloader.shutdownNow()
     }
+
+    /** Waits until the files have been the same twice, so that a new certificate is not used with the old key. */
+    private fun reload() {
+        val before = seen
+        try {
+            seen = stamp()
+            if (seen == loaded || seen != before) return
+            load()
+            loaded = seen
+            Logger.info { "peer: certificates were reloaded from ${security.certificate}" }
+        } catch (e: IOException) {
+            Logger.warn { "peer: certificates can't be reloaded: ${e.message}" }
+        } catch (e: GeneralSecurityException) {
+            Logger.warn { "peer: certificates can't be reloaded: ${e.message}" }
+        } catch (e: IllegalArgumentException) {
+            Logger.warn { "peer: certificates can't be reloaded: ${e.message}" }
+        }
+    }
+
+    private fun load() {
+        keyManager.updateIdentityCredentials(security.certificate.toFile(), security.privateKey.toFile())
+        trustManager.updateTrustCredentials(security.authority.toFile())
+    }
+
+    private fun stamp() =
+        listOf(security.certificate, security.privateKey, security.authority).map {
+            Files.getLastModifiedTime(it) to
+                Files.size(it)
+        }
 }
 
 internal fun TlsFiles?.serverCredentialsOrPlain(): ServerCredentials = this?.serverCredentials() ?: InsecureServerCredentials.create()
