--- /dev/null
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Estimates.kt
@@ -0,0 +1,154 @@
+package lavendertrail.dispatch
+
+import lavendertrail.config.ModelRecord
+import lavendertrail.config.ServerRecord
+import lavendertrail.model.FailureDomain
+import lavendertrail.model.ModelId
+import lavendertrail.model.ServerId
+import lavendertrail.reducer.DispatchCall
+
+/** A server that a call may be sent to. [hasRoom] is false where its [limit] is reached. */
+internal class Candidate(
+    val record: ServerRecord,
+    val view: ServerView,
+    val limit: Int,
+    val hasRoom: Boolean,
+)
+
+/** Everything that a placement is decided on. */
+internal class PlacementQuery(
+    val entry: CallEntry,
+    val candidates: List<Candidate>,
+    val cachedTokens: Map<ServerId, Int>,
+    val knownTokens: (ServerId) -> Long,
+    val model: ModelRecord?,
+    val selfDomain: FailureDomain,
+    val hint: CallHint?,
+    val stickyServer: ServerId?,
+    val turn: Long,
+    val nowMillis: Long,
+    val settings: DispatchSettings,
+    val random: () -> Double,
+) {
+    val call: DispatchCall get() = entry.call
+    val staleMillis: Long get() = settings.staleLoadMillis
+}
+
+/** A load report older than three polls tells nothing about other nodes' calls any more. */
+internal val DispatchSettings.staleLoadMillis: Long get() = 3 * loadPollMillis
+
+// An export and import costs two requests beside the copy itself.
+private const val TRANSFER_FIXED_MILLIS = 10.0
+
+// One more call in a batch slows every token of the others by about one percent.
+private const val INTERFERENCE_PER_CALL = 0.01
+
+// Expected answer where nothing is known; answers of tool-calling agents are short compared with maxTokens.
+private const val TYPICAL_ANSWER_TOKENS = 200
+
+// An attempt on a server that failed this call before needs a clear advantage.
+private const val RETRY_SAME_SERVER_MILLIS = 5_000.0
+private const val UNKNOWN_CALL_MILLIS = 500.0
+
+internal fun estimatesOf(query: PlacementQuery): List<CandidateEstimate> = query.candidates.map { estimate(query, it) }
+
+private fun estimate(
+    query: PlacementQuery,
+    candidate: Candidate,
+): CandidateEstimate {
+    val model = query.model
+    val view = candidate.view
+    val server = candidate.record.server
+    val running = view.estimatedRunning(query.nowMillis, query.staleMillis)
+    val cached = query.cachedTokens[server] ?: 0
+    val transfer = if (model == null) null else transferTo(query, server, cached, model)
+    val usable = transfer?.tokens ?: cached
+    val aheadTokens = view.tokensAhead(query.nowMillis, query.staleMillis)
+    return CandidateEstimate(
+        server = server,
+        queueMillis = slotMillis(candidate) + (model?.prefillMillis(aheadTokens) ?: (running * view.callMillis / maxRunning(candidate))),
+        prefillMillis = model?.prefillMillis(query.call.promptTokens - usable) ?: 0.0,
+        transferMillis = transfer?.millis ?: 0.0,
+        distanceMillis = if (candidate.record.failureDomain == query.selfDomain) 0.0 else 2.0 * query.settings.domainDistanceMillis,
+        weightsMillis = weightsMillis(query, candidate),
+        interferenceMillis = if (model == null) 0.0 else running * slowdownPerCall(query, model) + displacedMillis(query, candidate, model),
+        retryMillis = if (server in query.entry.triedServers) RETRY_SAME_SERVER_MILLIS else 0.0,
+        cachedTokens = usable,
+        runningCalls = running,
+        limit = candidate.limit,
+        hasRoom = candidate.hasRoom,
+        transferFrom = transfer?.from,
+    )
+}
+
+internal fun ModelRecord.prefillMillis(tokens: Int): Double = tokens.coerceAtLeast(0) * 1_000.0 / prefillTokensPerSecond
+
+private fun maxRunning(candidate: Candidate): Int = candidate.record.maxRunningCalls.coerceAtLeast(1)
+
+/** Wait for a slot where all are taken: one of the running calls ends about every callMillis / running. */
+private fun slotMillis(candidate: Candidate): Double {
+    if (candidate.hasRoom) return 0.0
+    val view = candidate.view
+    val callMillis = if (view.callMillis > 0) view.callMillis else UNKNOWN_CALL_MILLIS
+    return callMillis / view.running.size.coerceAtLeast(1) * (1 + view.heldCalls.size)
+}
+
+private fun slowdownPerCall(
+    query: PlacementQuery,
+    model: ModelRecord,
+): Double {
+    val tokens = query.hint?.generatedTokens ?: minOf(query.call.maxTokens, TYPICAL_ANSWER_TOKENS)
+    return tokens * 1_000.0 / model.decodeTokensPerSecond * INTERFERENCE_PER_CALL
+}
+
+/** Cached tokens of live programs that would be displaced by this prompt, at half price: not all come back. */
+private fun displacedMillis(
+    query: PlacementQuery,
+    candidate: Candidate,
+    model: ModelRecord,
+): Double {
+    val capacity = candidate.record.cacheCapacityTokens
+    val server = candidate.record.server
+    val added = query.call.promptTokens + query.call.maxTokens - (query.cachedTokens[server] ?: 0)
+    val excess = query.knownTokens(server) + added - capacity
+    return if (capacity <= 0 || excess <= 0) 0.0 else model.prefillMillis(minOf(excess, added.toLong()).toInt()) / 2
+}
+
+private fun weightsMillis(
+    query: PlacementQuery,
+    candidate: Candidate,
+): Double {
+    val model = query.model ?: return 0.0
+    return if (isLoaded(candidate.view, model.model)) 0.0 else model.weightBytes * 1_000.0 / query.settings.weightBytesPerSecond
+}
+
+/** Without a report a server is taken to have loaded what its record names. */
+internal fun isLoaded(
+    view: ServerView,
+    model: ModelId,
+): Boolean {
+    val loaded = view.load?.loadedModels.orEmpty()
+    return loaded.isEmpty() || model in loaded
+}
+
+private class Transfer(
+    val from: ServerId,
+    val tokens: Int,
+    val millis: Double,
+)
+
+private fun transferTo(
+    query: PlacementQuery,
+    server: ServerId,
+    cachedThere: Int,
+    model: ModelRecord,
+): Transfer? {
+    val source =
+        query.cachedTokens.entries
+            .filter { it.key != server }
+            .maxByOrNull { it.value } ?: return null
+    val gained = source.value - cachedThere
+    if (gained <= 0 || model.transferTokensPerSecond <= 0) return null
+    val millis = source.value * 1_000.0 / model.transferTokensPerSecond + TRANSFER_FIXED_MILLIS
+    return if (millis < model.prefillMillis(gained)) Transfer(source.key, source.value, millis) else null
+}
--- a/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
@@ -222,7 +222,10 @@
     public val fencingToken: Long,
 ) : Effect
 
-/** Makes a crash count durable, so that it survives the loss of this node. */
+/**
+ * Makes a crash count durable, so that it survives the loss of this node. A mark with 0 crashes clears the fingerprint:
+ * it replaces a record whose last crash is not later than its own time.
+ */
 public data class SavePoisonMark(
     public val mark: PoisonMark,
 ) : Effect
