Leave calls of moved programs to their next owner

A program that moved to another node could have its call retried here, so that both owners ran it. Waiting calls of a moved program now end as not run and running ones are not retried; calls of an ended program are cancelled.

--- a/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
@@ -267,6 +267,7 @@
     failure: AttemptFailure,
     message: String,
 ) {
+    if (entry.moved) return giveUp(entry, failure, message)
     val query =
         RetryQuery(
             failure = failure,
--- a/core/src/main/kotlin/lavendertrail/dispatch/CallEntry.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/CallEntry.kt
@@ -41,6 +41,8 @@
     val triedServers: Set<ServerId> = emptySet(),
     val timers: List<TimerKey> = emptyList(),
     val mayHold: Boolean = true,
+    /** Another node decides for the program now: a running attempt may end, and nothing is started any more. */
+    val moved: Boolean = false,
     /** The server of [Phase.HELD], [Phase.ISOLATING] and [Phase.VERDICT]. */
     val waitsFor: ServerId? = null,
 )
--- a/core/src/main/kotlin/lavendertrail/dispatch/CallFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/CallFlow.kt
@@ -1,5 +1,8 @@
 package lavendertrail.dispatch
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import lavendertrail.model.CallBody
 import lavendertrail.model.CallId
 import lavendertrail.model.CallResult
@@ -25,7 +28,12 @@
 
 internal fun DispatchWork.request(event: DispatchRequested) {
     val call = event.call
-    if (call.call in core.calls) return
+    val known = core.calls[call.call]
+    if (known != null) {
+        // The program came back to this node while its call still runs here: the call's end serves both requests.
+        if (known.moved) put(known.copy(moved = false))
+        return
+    }
     val target = targetOf(call.body)
     if (target == null) {
         val refusal = Refusal(RunOutcome.NOT_RUN, RefusalReason.BAD_REQUEST, "a tool result is recorded and not sent", null, STEP)
@@ -35,6 +43,8 @@
     admit(call)
     val entry = CallEntry(call, target, nowMillis, core.sequence, nowMillis, mayHaveRun = call.recovered || call.resumeOnly)
     put(entry)
+    val siblings = core.callsOf[call.call.program] ?: persistentHashSetOf()
+    core = core.copy(callsOf = core.callsOf.put(call.call.program, siblings.add(call.call)))
     setTimer(call.call, call.deadlineMillis, Timer.Deadline(call.call))
     val mustAsk = call.resumeOnly || (call.recovered && (target is Target.Model || !call.repeatable))
     if (mustAsk) ask(call.call) else enqueueNew(call.call)
@@ -206,6 +216,7 @@
     core =
         core.copy(
             calls = core.calls.remove(call.call),
+            callsOf = core.callsOf.without(call.call),
             hints = if (core.hints.isEmpty()) core.hints else core.hints.remove(call.call),
             share = core.share.left(call.owner, call.account),
         )
@@ -213,6 +224,11 @@
     if (ended != null && current.phase == Phase.RUNNING) pumpServer(ended.server)
 }
 
+private fun PersistentMap<ProgramId, PersistentSet<CallId>>.without(call: CallId): PersistentMap<ProgramId, PersistentSet<CallId>> {
+    val left = this[call.program]?.remove(call) ?: return this
+    return if (left.isEmpty()) remove(call.program) else put(call.program, left)
+}
+
 internal fun DispatchWork.cancel(event: DispatchCancelled) {
     val entry = core.calls[event.call] ?: return
     val attempt = entry.attempt.takeIf { entry.phase == Phase.RUNNING }
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchState.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import lavendertrail.model.CallId
@@ -21,6 +22,7 @@
     val sequence: Long = 0,
     val timerNumber: Long = 0,
     val calls: PersistentMap<CallId, CallEntry> = persistentHashMapOf(),
+    val callsOf: PersistentMap<ProgramId, PersistentSet<CallId>> = persistentHashMapOf(),
     val queue: QueueIndex = QueueIndex(),
     val share: FairShare = FairShare(),
     val servers: PersistentMap<ServerId, ServerView> = persistentHashMapOf(),
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchSummary.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchSummary.kt
@@ -44,16 +44,25 @@
 /** The last placements of [program]'s calls with the estimates they were chosen by, oldest first. */
 public fun NodeState.placementsOf(program: ProgramId): List<PlacementNote> = dispatch.core.placements[program].orEmpty()
 
-/** Running and waiting calls per account here, for the other nodes' part of the account's limit. */
+// A probe goes out several times a second; 64 entries of about 100 bytes keep it within the control traffic of a node.
+private const val MAX_PROBE_ENTRIES = 64
+
+/** Running and waiting calls per account here, the busiest first, for the other nodes' part of the account's limit. */
 public fun NodeState.accountShares(): List<AccountShare> {
     val core = dispatch.core
     val accounts = core.accounts.runningAccounts().keys + core.queue.waitingAccounts().keys
-    return accounts.map { AccountShare(it.value, core.accounts.runningOf(it), core.queue.waitingOf(it)) }
+    return accounts
+        .map { AccountShare(it.value, core.accounts.runningOf(it), core.queue.waitingOf(it)) }
+        .sortedWith(compareByDescending<AccountShare> { it.runningCalls + it.waitingCalls }.thenBy { it.account })
+        .take(MAX_PROBE_ENTRIES)
 }
 
-/** Crash counts that other nodes should know. */
+/** The latest crash counts, which other nodes should know. */
 public fun NodeState.poisonMarks(nowMillis: Long): List<PoisonMark> =
-    dispatch.core.poison.marks(nowMillis, settings.dispatch.poisonExpiryMillis)
+    dispatch.core.poison
+        .marks(nowMillis, settings.dispatch.poisonExpiryMillis)
+        .sortedByDescending { it.lastCrashMillis }
+        .take(MAX_PROBE_ENTRIES)
 
 public fun NodeState.dispatchSummary(nowMillis: Long): DispatchSummary {
     val work = DispatchWork(this, TimedEvent(nowMillis, seed = 0, Tick))
--- a/core/src/main/kotlin/lavendertrail/dispatch/ModelScaling.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ModelScaling.kt
@@ -32,8 +32,8 @@
 
 /** The epoch under which this node is its region's controller, which is the fencing token; null on other nodes. */
 internal fun controllerEpoch(state: NodeState): Long? {
-    val record = state.membership.partitions[PartitionId(0)]?.record ?: return null
-    return record.epoch.takeIf { record.ownerNode == state.self.node && record.ownerIncarnation == state.self.incarnation }
+    val partition = state.membership.owned[PartitionId(0)] ?: return null
+    return partition.epoch.takeIf { partition.isActive }
 }
 
 /** Loads a model on one more server when calls wait for it for long, and gives servers back when it is idle for long. */
--- a/core/src/main/kotlin/lavendertrail/dispatch/PauseFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/PauseFlow.kt
@@ -1,9 +1,12 @@
 package lavendertrail.dispatch
 
 import lavendertrail.config.ModelRecord
+import lavendertrail.model.CallId
 import lavendertrail.model.ModelId
 import lavendertrail.model.ProgramId
+import lavendertrail.model.RefusalReason
 import lavendertrail.model.ServerId
+import lavendertrail.reducer.DispatchCancelled
 import lavendertrail.reducer.PinCache
 import lavendertrail.reducer.ProgramGone
 import lavendertrail.reducer.ProgramPaused
@@ -78,6 +81,7 @@
 /** Pins are released at once, except where another node goes on with the program. */
 internal fun DispatchWork.gone(event: ProgramGone) {
     val program = event.program
+    core.callsOf[program].orEmpty().forEach { if (event.moved) leave(it) else cancel(DispatchCancelled(it)) }
     if (!event.moved) {
         core.cache
             .serversOf(program)
@@ -91,3 +95,13 @@
             lastServers = core.lastServers.remove(program),
         )
 }
+
+/** The next owner finds a running stream at its engine and goes on with it, so that it isn't cancelled there. */
+private fun DispatchWork.leave(id: CallId) {
+    val entry = core.calls[id] ?: return
+    if (entry.phase == Phase.RUNNING) {
+        put(entry.copy(moved = true))
+    } else {
+        refuse(entry, RefusalReason.NOT_OWNER, "the program moved to another node", MIN_RETRY_MILLIS)
+    }
+}
--- a/core/src/main/kotlin/lavendertrail/dispatch/PinSweep.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/PinSweep.kt
@@ -30,8 +30,8 @@
     state: NodeState,
     program: ProgramId,
 ): Boolean {
-    val record = state.membership.partitions[program.partition]?.record ?: return false
-    return record.ownerNode == state.self.node && record.ownerIncarnation == state.self.incarnation
+    val partition = state.membership.owned[program.partition] ?: return false
+    return partition.isActive && program.region == state.self.region
 }
 
 internal fun DispatchWork.sweepPins() {
@@ -73,5 +73,7 @@
         core.copy(sweep = core.sweep.copy(unknown = if (left.isEmpty()) unknown.remove(event.server) else unknown.put(event.server, left)))
 }
 
-/** A program is live here from its first call until ProgramGone. */
-private fun DispatchWork.isLive(program: ProgramId): Boolean = core.share.ofProgram(program) != null
+private fun DispatchWork.isLive(program: ProgramId): Boolean {
+    val known = node.programs.programs[program]
+    return if (known != null) known.endedMillis == null else core.share.ofProgram(program) != null
+}
--- a/core/src/main/kotlin/lavendertrail/membership/FailureDetector.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/FailureDetector.kt
@@ -1,5 +1,7 @@
 package lavendertrail.membership
 
+import lavendertrail.dispatch.accountShares
+import lavendertrail.dispatch.poisonMarks
 import lavendertrail.model.NodeId
 import lavendertrail.reducer.NodeState
 import kotlin.random.Random
@@ -62,6 +64,8 @@
         leaving = membership.shuttingDown,
         configRevision = config.headRevision,
         suspects = ownSuspicions(nowMillis) + relayedSuspicions(nowMillis),
+        poisonMarks = poisonMarks(nowMillis),
+        accountShares = accountShares(),
         nodeRecord = self,
     )
 
