--- /dev/null
+++ b/standins/src/main/kotlin/lavendertrail/standins/Delays.kt
@@ -0,0 +1,18 @@
+package lavendertrail.standins
+
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/** Runs short actions after a delay, for all stand-ins of a process, so that a wait takes no thread. */
+internal object Delays {
+    private val executor =
+        ScheduledThreadPoolExecutor(2) { task -> Thread(task, "stand-in delays").apply { isDaemon = true } }
+            .apply { removeOnCancelPolicy = true }
+
+    fun run(
+        delayMillis: Long,
+        action: () -> Unit,
+    ) {
+        if (delayMillis <= 0) executor.execute(action) else executor.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+    }
+}
