--- a/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
+++ b/core/src/main/kotlin/lavendertrail/config/ConfigState.kt
@@ -6,6 +6,7 @@
 import lavendertrail.model.ModelId
 import lavendertrail.model.OwnerId
 import lavendertrail.model.ServerId
+import lavendertrail.model.ServiceClass
 import lavendertrail.model.ToolId
 import lavendertrail.reducer.StoredRecord
 
@@ -19,9 +20,14 @@
     public val owners: PersistentMap<OwnerId, OwnerRecord> = persistentMapOf(),
     public val accounts: PersistentMap<AccountId, AccountRecord> = persistentMapOf(),
     public val assistants: PersistentMap<String, AssistantRecord> = persistentMapOf(),
+    public val callers: PersistentMap<String, CallerRecord> = persistentMapOf(),
+    public val budgets: PersistentMap<String, BudgetRecord> = persistentMapOf(),
+    public val priorities: PersistentMap<ServiceClass, PriorityRecord> = persistentMapOf(),
+    public val programs: PersistentMap<String, ProgramRecord> = persistentMapOf(),
     public val servers: PersistentMap<ServerId, ServerRecord> = persistentMapOf(),
     public val tools: PersistentMap<ToolId, ToolRecord> = persistentMapOf(),
     public val models: PersistentMap<ModelId, ModelRecord> = persistentMapOf(),
     public val rejected: PersistentMap<String, String> = persistentMapOf(),
     public val appliedAtMillis: Long = 0,
+    internal val fetchedAtMillis: Long = Long.MIN_VALUE / 2,
 )
--- a/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/ProgramEvents.kt
@@ -5,6 +5,7 @@
 import lavendertrail.model.CallId
 import lavendertrail.model.CallRequest
 import lavendertrail.model.CallResult
+import lavendertrail.model.NodeId
 import lavendertrail.model.PartitionId
 import lavendertrail.model.ProgramId
 import lavendertrail.model.ProgramSpec
@@ -75,7 +76,10 @@
     public val appendId: Long,
 ) : Event
 
-/** An append didn't reach both copies. [fenced] is true where a journal node has seen a higher epoch. */
+/**
+ * An append didn't reach both copies. [fenced] is true where a journal node has seen a higher epoch; otherwise
+ * [journalNode] is the one that failed, and the append is still being tried.
+ */
 @Serializable
 public data class HistoryAppendFailed(
     public val partition: PartitionId,
@@ -83,6 +87,7 @@
     public val appendId: Long,
     public val fenced: Boolean,
     public val message: String,
+    public val journalNode: NodeId? = null,
 ) : Event
 
 /** Appends [records] to the partition's journal, in the order of the appends. */
@@ -117,10 +122,27 @@
     public val total: Usage,
 ) : Effect
 
+/**
+ * The first [recordCount] records of the program. Where [records] has fewer, the runner reads them from the journal: the
+ * reducer keeps no full texts.
+ */
 public data class AnswerHistory(
     public val requestId: Long,
     public val program: ProgramId,
     public val records: List<HistoryRecord>,
+    public val recordCount: Int = records.size,
+) : Effect
+
+/**
+ * Answers like [AnswerCall] with an outcome that is no longer in memory: the runner reads the first [recordCount] records
+ * of the program from the journal and calls [lavendertrail.program.storedAnswer]. [bodySha256] is null where the body was
+ * compared already.
+ */
+public data class AnswerFromHistory(
+    public val requestId: Long,
+    public val call: CallId,
+    public val bodySha256: String?,
+    public val recordCount: Int,
 ) : Effect
 
 /** Refuses a request that is not a call, or a call that was not started. */
