--- a/ports/src/main/kotlin/lavendertrail/http/ChunkPump.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/ChunkPump.kt
@@ -63,11 +63,21 @@
         when {
             first === ChunkStream.END -> finish()
             first === ChunkStream.ABORT -> cut()
-            else -> return ByteBuffer.wrap(first)
+            else -> return join(first)
         }
         return null
     }
 
+    /** One write for all chunks that have come meanwhile saves system calls under load. */
+    private fun join(first: ByteArray): ByteBuffer {
+        val more = stream.pollData(JOINED_BYTES - first.size)
+        if (more.isEmpty()) return ByteBuffer.wrap(first)
+        val joined = ByteBuffer.allocate(first.size + more.sumOf { it.size })
+        joined.put(first)
+        more.forEach(joined::put)
+        return joined.flip()
+    }
+
     private fun finish() {
         ending = true
         stream.close()
@@ -80,6 +90,10 @@
         IoUtils.safeClose(exchange.connection)
     }
 
+    private companion object {
+        const val JOINED_BYTES = 16 * 1024
+    }
+
     private fun StreamSinkChannel.flushOrResume() {
         if (flush()) suspendWrites() else resumeWrites()
     }
--- a/ports/src/main/kotlin/lavendertrail/http/ChunkStream.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/ChunkStream.kt
@@ -67,6 +67,18 @@
     /** The next chunk, [END] or [ABORT]; null where nothing is there yet. */
     internal fun poll(): ByteArray? = chunks.poll()
 
+    /** Further chunks of data that are there, of at most [maxBytes] together. For one reader at a time. */
+    internal fun pollData(maxBytes: Int): List<ByteArray> {
+        val taken = mutableListOf<ByteArray>()
+        var left = maxBytes
+        while (true) {
+            val next = chunks.peek() ?: return taken
+            if (next === END || next === ABORT || next.size > left) return taken
+            left -= next.size
+            taken.add(chunks.poll())
+        }
+    }
+
     private fun put(chunk: ByteArray) {
         chunks.add(chunk)
         listener?.invoke()
--- a/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
@@ -2,20 +2,19 @@
 
 import org.apache.hc.client5.http.ConnectTimeoutException
 import org.apache.hc.client5.http.HttpHostConnectException
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase
 import org.apache.hc.client5.http.config.ConnectionConfig
 import org.apache.hc.client5.http.config.RequestConfig
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient
 import org.apache.hc.client5.http.impl.classic.HttpClients
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder
 import org.apache.hc.client5.http.protocol.HttpClientContext
-import org.apache.hc.core5.http.ClassicHttpRequest
 import org.apache.hc.core5.http.ClassicHttpResponse
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException
 import org.apache.hc.core5.http.HttpException
 import org.apache.hc.core5.http.HttpHost
 import org.apache.hc.core5.http.io.SocketConfig
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity
-import org.apache.hc.core5.http.io.support.ClassicRequestBuilder
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy
 import org.apache.hc.core5.util.TimeValue
 import org.apache.hc.core5.util.Timeout
@@ -26,6 +25,7 @@
 import org.http4k.core.Status
 import java.io.IOException
 import java.net.SocketTimeoutException
+import java.net.URI
 import java.net.UnknownHostException
 
 /**
@@ -59,7 +59,8 @@
         val idleMillis = request.header(IDLE_LIMIT_HEADER)?.toLong()
         val context = HttpClientContext.create()
         context.requestConfig = if (idleMillis == null) defaultConfig else requestConfig(limits, idleMillis)
-        client.open(request, context).toResponse()
+        val sent = request.toApache()
+        client.open(sent, context).toResponse(onCut = { sent.cancel() })
     }
 }
 
@@ -108,12 +109,12 @@
         .build()
 
 private fun CloseableHttpClient.open(
-    request: Request,
+    request: HttpUriRequestBase,
     context: HttpClientContext,
 ): ClassicHttpResponse {
-    val target = "${request.uri.host}:${request.uri.port}"
+    val target = request.authority.toString()
     return try {
-        executeOpen(HttpHost.create(java.net.URI.create(request.uri.toString())), request.toApache(), context)
+        executeOpen(HttpHost(request.scheme, request.authority), request, context)
     } catch (e: IOException) {
         throw e.toCallException(target)
     } catch (e: HttpException) {
@@ -133,24 +134,24 @@
         else -> HttpCallException("connection to $target broke: $message", this, sent = true, timedOut = false)
     }
 
-private fun Request.toApache(): ClassicHttpRequest {
-    val builder = ClassicRequestBuilder.create(method.name).setUri(uri.toString())
+private fun Request.toApache(): HttpUriRequestBase {
+    val request = HttpUriRequestBase(method.name, URI.create(uri.toString()))
     headers.forEach { (name, value) ->
-        if (!name.equals("content-length", ignoreCase = true) && name != IDLE_LIMIT_HEADER) builder.addHeader(name, value)
+        if (!name.equals("content-length", ignoreCase = true) && name != IDLE_LIMIT_HEADER) request.addHeader(name, value)
     }
     val payload = body.payload
     if (payload.hasRemaining()) {
-        builder.entity = ByteArrayEntity(payload.array(), payload.arrayOffset() + payload.position(), payload.remaining(), null)
+        request.entity = ByteArrayEntity(payload.array(), payload.arrayOffset() + payload.position(), payload.remaining(), null)
     }
-    return builder.build()
+    return request
 }
 
-private fun ClassicHttpResponse.toResponse(): Response {
+private fun ClassicHttpResponse.toResponse(onCut: () -> Unit): Response {
     val content = entity?.content
     val bare = Response(Status(code, reasonPhrase)).headers(headers.map { it.name to it.value })
     if (content == null) {
         close()
         return bare
     }
-    return bare.body(Body(ResponseStream(content, this), entity.contentLength.takeIf { it >= 0 }))
+    return bare.body(Body(ResponseStream(content, onCut), entity.contentLength.takeIf { it >= 0 }))
 }
--- a/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
@@ -53,6 +53,7 @@
     limits: HttpServerLimits = HttpServerLimits(),
     handler: HttpHandler,
 ): HttpServer {
+    routeServerLogs()
     val connections = ConcurrentHashMap.newKeySet<ServerConnection>()
     val undertow =
         Undertow
@@ -82,6 +83,13 @@
     }
 }
 
+/** Sends the server library's own log lines to the logger of the process instead of `java.util.logging`. */
+private fun routeServerLogs() {
+    if (System.getProperty(LOG_PROVIDER) == null) System.setProperty(LOG_PROVIDER, "slf4j")
+}
+
+private const val LOG_PROVIDER = "org.jboss.logging.provider"
+
 private fun MutableSet<ServerConnection>.track(connection: ServerConnection) {
     if (add(connection)) connection.addCloseListener { remove(it) }
 }
--- a/ports/src/main/kotlin/lavendertrail/http/ResponseStream.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/ResponseStream.kt
@@ -1,16 +1,15 @@
 package lavendertrail.http
 
-import java.io.Closeable
 import java.io.FilterInputStream
 import java.io.InputStream
 
 /**
- * The body of a response. At its end the connection goes back to the pool; closed earlier, [response] is closed, which
- * cuts the connection instead of reading the rest.
+ * The body of a response. At its end the connection goes back to the pool; closed earlier, the connection is [cut],
+ * because the library's own close reads the rest first, which never comes in an endless stream.
  */
 internal class ResponseStream(
     content: InputStream,
-    private val response: Closeable,
+    private val cut: () -> Unit,
 ) : FilterInputStream(content) {
     @Volatile
     private var atEnd = false
@@ -24,6 +23,6 @@
     ): Int = super.read(buffer, start, length).also { if (it < 0) atEnd = true }
 
     override fun close() {
-        if (!atEnd) response.close()
+        if (!atEnd) cut()
     }
 }
--- a/standins/src/main/kotlin/lavendertrail/standins/EngineCore.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/EngineCore.kt
@@ -187,14 +187,13 @@
 
     override fun onGenerated(call: EngineCall) {
         memory.answered(call)
-        if (call.request.pinMillis > 0) memory.pin(call.request.call.program, settings.realMillis(call.request.pinMillis))
-        val engineMillis = (System.nanoTime() - call.startedNanos) / 1e6 * settings.timeScale
+        if (call.request.pinMillis > 0) memory.pin(call.request.call.program, call.request.pinMillis)
         val generated =
             Generated(
                 promptTokens = call.prompt.totalTokens.toLong(),
                 cachedTokens = call.cachedTokens.toLong(),
                 generatedTokens = call.generatedTokens.toLong(),
-                engineMillis = engineMillis.toLong(),
+                engineMillis = (System.nanoTime() - call.startedNanos) / 1_000_000,
                 load = load(),
             )
         ended(call, EngineEnd.Done(generated))
--- a/standins/src/main/kotlin/lavendertrail/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/EngineSettings.kt
@@ -5,6 +5,7 @@
 
 /**
  * Speed and memory of a stand-in engine. Times are those of the model; [timeScale] 20 makes all of them 20 times shorter.
+ * What goes over the wire is real time: pins, deadlines and the engine time of an answer.
  *
  * - A step gives each decoding call one token and takes `1 / decodeTokensPerSecond` seconds for one call and
  *   [decodeSlowdownPerCall] more of that for each further call: 50 tokens/s alone, 34 with 32 calls, which is the 29 ms
--- a/standins/src/main/kotlin/lavendertrail/standins/EngineStandin.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/EngineStandin.kt
@@ -88,7 +88,7 @@
         program: ProgramId,
         pinMillis: Long,
     ): Result<Unit, StepError> {
-        val found = ifUp("pin cache") { synchronized(core) { core.memory.pin(program, settings.realMillis(pinMillis)) } }
+        val found = ifUp("pin cache") { synchronized(core) { core.memory.pin(program, pinMillis) } }
         return found.andRequire("pin cache", "nothing is cached for $program")
     }
 
--- a/standins/src/main/kotlin/lavendertrail/standins/PlatformRecords.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/PlatformRecords.kt
@@ -46,22 +46,23 @@
 internal fun OwnerGroup.records(
     engines: List<RunningEngine>,
     tools: List<RunningTool>,
+    timeScale: Double,
 ): List<PlatformRecord> =
     listOf(record("owner", owner.value, OwnerRecord.serializer(), OwnerRecord(owner, region))) +
-        models.map { record("model", it.model.value, ModelRecord.serializer(), it.toRecord()) } +
+        models.map { record("model", it.model.value, ModelRecord.serializer(), it.toRecord(timeScale)) } +
         engines.map { record("server", it.server.value, ServerRecord.serializer(), it.toRecord(this)) } +
         tools.map { record("server", it.server.value, ServerRecord.serializer(), it.toRecord(this)) } +
         this.tools.map { group -> record("tool", group.tool.value, ToolRecord.serializer(), group.toRecord(tools)) } +
         assistants.map { record("assistant", it.name, AssistantRecord.serializer(), it.toRecord(this)) } +
         accountTokens.map { (name, token) -> record("account", name, AccountRecord.serializer(), toAccount(name, token)) }
 
-/** The expected decode rate is that of a batch half full. */
-private fun ModelGroup.toRecord(): ModelRecord =
+/** Rates in real time, as callers see them. The expected decode rate is that of a batch half full. */
+private fun ModelGroup.toRecord(timeScale: Double): ModelRecord =
     ModelRecord(
         model = model,
-        prefillTokensPerSecond = engine.prefillTokensPerSecond,
-        decodeTokensPerSecond = engine.decodeTokensPerSecond / (1 + engine.decodeSlowdownPerCall * engine.maxRunningCalls / 2),
-        transferTokensPerSecond = engine.transferTokensPerSecond,
+        prefillTokensPerSecond = engine.prefillTokensPerSecond * timeScale,
+        decodeTokensPerSecond = timeScale * engine.decodeTokensPerSecond / (1 + engine.decodeSlowdownPerCall * engine.maxRunningCalls / 2),
+        transferTokensPerSecond = engine.transferTokensPerSecond * timeScale,
     )
 
 private fun RunningEngine.toRecord(owner: OwnerGroup): ServerRecord =
--- a/standins/src/main/kotlin/lavendertrail/standins/StandinPlatform.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/StandinPlatform.kt
@@ -94,7 +94,7 @@
         weightStore = weightStore,
         engines = engines.values.flatten(),
         tools = tools.values.flatten(),
-        records = settings.owners.flatMap { it.records(engines.getValue(it), tools.getValue(it)) },
+        records = settings.owners.flatMap { it.records(engines.getValue(it), tools.getValue(it), settings.timeScale) },
         keyValueServer = serveKeyValue(keyValue),
         hostListServer = serveHostList(hostList),
         weightStoreServer = serveWeightStore(weightStore),
--- a/standins/src/main/kotlin/lavendertrail/standins/StandinServer.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/StandinServer.kt
@@ -9,6 +9,9 @@
 import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.http4k.core.Status
+import java.net.BindException
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 /**
  * A stand-in's HTTP server, which can go down and come back at the same port. Long waits are streams without a thread,
@@ -19,7 +22,7 @@
     private val handler: HttpHandler,
 ) : AutoCloseable {
     private val limits = HttpServerLimits(maxBodyBytes = MAX_BODY_BYTES, workerThreads = WORKER_THREADS, ioThreads = 1)
-    private var server: HttpServer? = httpServer(binding, limits, handler)
+    private var server: HttpServer? = if (binding.port == 0) startOnFreePort(binding.ip) else httpServer(binding, limits, handler)
     private val fixed = HttpBinding(binding.ip, checkNotNull(server).port)
 
     /** `ip:port`, the same over restarts. */
@@ -43,10 +46,31 @@
 
     override fun close(): Unit = down()
 
+    /** A port outside the range of outgoing connections, so that none takes it while the server is down. */
+    private fun startOnFreePort(ip: String): HttpServer {
+        repeat(MAX_PORT_TRIES) {
+            try {
+                return httpServer(HttpBinding(ip, nextPort()), limits, handler)
+            } catch (e: RuntimeException) {
+                if (e.cause !is BindException) throw e
+            }
+        }
+        error("no free port in $PORTS after $MAX_PORT_TRIES tries")
+    }
+
     private companion object {
         /** 870,000 history tokens of 4 bytes, and room for JSON escapes and chain hashes. */
         const val MAX_BODY_BYTES = 16L * 1024 * 1024
-        const val WORKER_THREADS = 24
+        const val WORKER_THREADS = 64
+        const val MAX_PORT_TRIES = 200
+
+        /** Below 32,768, where Linux starts to take ports for outgoing connections. */
+        val PORTS = 20_000..32_000
+
+        /** Starts at random, so that two processes seldom try the same ports. */
+        private val lastPort = AtomicInteger(Random.nextInt(PORTS.last - PORTS.first))
+
+        fun nextPort(): Int = PORTS.first + Math.floorMod(lastPort.incrementAndGet(), PORTS.last - PORTS.first)
     }
 }
 
