--- a/ports/src/main/kotlin/lavendertrail/adapters/HttpToolService.kt
+++ b/ports/src/main/kotlin/lavendertrail/adapters/HttpToolService.kt
@@ -17,22 +17,28 @@
 import java.io.IOException
 import java.net.URLEncoder
 
-/** The tool or plain service [server] at [address] (`ip:port`). A call is sent at most once. */
+/**
+ * The tool or plain service [server] at [address] (`ip:port`). A call is sent at most once, by [fresh], which must open a
+ * connection for each request; [http] may use pooled ones and is only asked for the status of calls.
+ */
 public fun httpToolService(
     server: ServerId,
     address: String,
     statusTimeoutMillis: Long = 5_000,
-    http: HttpHandler = SharedClients.checked,
-): ToolService = HttpToolService(JsonPeer(server.value, address, http, statusTimeoutMillis))
+    http: HttpHandler = SharedClients.pooled,
+    fresh: HttpHandler = SharedClients.fresh,
+): ToolService =
+    HttpToolService(JsonPeer(server.value, address, http, statusTimeoutMillis), JsonPeer(server.value, address, fresh, statusTimeoutMillis))
 
 /** See [httpToolService]. */
 internal class HttpToolService(
     private val peer: JsonPeer,
+    private val fresh: JsonPeer,
 ) : ToolService {
     override fun call(request: ToolRequest): Result<String, AttemptError> {
         val body = wireJson.encodeToString(ToolCallBody(request.tool.value, request.key, request.arguments, request.timeoutMillis))
         val http = peer.request(Method.POST, "/call", body)
-        val (status, text) = peer.fetch(http, request.timeoutMillis).getOrElse { return Err(failed(it)) }
+        val (status, text) = fresh.fetch(http, request.timeoutMillis).getOrElse { return Err(failed(it)) }
         if (status !in JsonPeer.SUCCESS) return Err(attemptError(failureOfStatus(status), "status $status: $text"))
         return try {
             Ok(wireJson.decodeFromString<ToolCallAnswer>(text).answer)
--- a/ports/src/main/kotlin/lavendertrail/adapters/SharedClients.kt
+++ b/ports/src/main/kotlin/lavendertrail/adapters/SharedClients.kt
@@ -8,12 +8,10 @@
 internal object SharedClients {
     val pooled: HttpHandler by lazy { httpClient() }
 
-    /** Opens a connection for each request; tells a stalled connection from a stalled peer. */
-    val fresh: HttpHandler by lazy { httpClient(HttpClientLimits(reuseConnections = false)) }
-
     /**
-     * For calls that must not be sent twice: a pooled connection is checked before nearly every use, because one that
-     * the server has closed meanwhile would leave it unknown whether the call has run.
+     * Opens a connection for each request. It tells a stalled connection from a stalled peer, and it serves calls that
+     * must not run twice: over a pooled connection that the server has just closed, it would stay unknown whether such a
+     * call has run. The price is one round trip per call.
      */
-    val checked: HttpHandler by lazy { httpClient(HttpClientLimits(validateAfterMillis = 50)) }
+    val fresh: HttpHandler by lazy { httpClient(HttpClientLimits(reuseConnections = false)) }
 }
--- a/ports/src/main/kotlin/lavendertrail/http/ChunkPump.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/ChunkPump.kt
@@ -5,6 +5,7 @@
 import org.xnio.channels.StreamSinkChannel
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
@@ -28,8 +29,14 @@
         schedule()
     }
 
+    /** Called by the writers of the stream, who must not fail because the server has stopped. */
     private fun schedule() {
-        if (scheduled.compareAndSet(false, true)) exchange.ioThread.execute(::pump)
+        if (!scheduled.compareAndSet(false, true)) return
+        try {
+            exchange.ioThread.execute(::pump)
+        } catch (e: RejectedExecutionException) {
+            stream.close()
+        }
     }
 
     private fun pump() {
--- a/ports/src/test/kotlin/lavendertrail/http/HttpServerTest.kt
+++ b/ports/src/test/kotlin/lavendertrail/http/HttpServerTest.kt
@@ -123,6 +123,8 @@
         server.stop()
         assertFailsWith<IOException> { response.body.stream.read() }
         assertTrue((System.nanoTime() - start) / 1_000_000 < 2_000, "stopping took too long")
+        stream.send("b")
+        stream.end()
         val refused = assertFailsWith<HttpCallException> { client(Request(Method.GET, "http://127.0.0.1:${server.port}/")) }
         assertEquals(false, refused.sent)
     }
--- a/standins/src/main/kotlin/lavendertrail/standins/EngineStandin.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/EngineStandin.kt
@@ -64,6 +64,11 @@
         onText: (String) -> Unit,
     ): Result<Generated, AttemptError> {
         val sink = QueueSink()
+        if (request.deadlineMillis <=
+            System.currentTimeMillis()
+        ) {
+            return failed(AttemptFailure.DEADLINE, "the deadline passed before the call")
+        }
         if (request.resume) {
             core.resume(request.call, sink) ?: return failed(AttemptFailure.UNKNOWN_STREAM, "no stream of ${request.call}")
             return sink.read(request, onText)
@@ -169,7 +174,7 @@
         message: String,
     ): Result<T, StepError> = andThen { value -> if (value == null) Err(error(step, message)) else Ok(value) }
 
-    /** Hands the answer from the engine's thread to the caller's. */
+    /** Hands the answer from the engine's thread to the caller's. After silence the stream is resumed once, as over HTTP. */
     private inner class QueueSink : EngineSink {
         private val queue = LinkedBlockingQueue<Any>()
 
@@ -189,14 +194,45 @@
             request: GenerateRequest,
             onText: (String) -> Unit,
         ): Result<Generated, AttemptError> {
+            var passed = 0
+            val end =
+                awaitEnd(request) {
+                    passed += it.length
+                    onText(it)
+                } ?: QueueSink().readResumed(request, passed, onText)
+            return when (end) {
+                is EngineEnd.Done -> Ok(end.generated)
+                is EngineEnd.Failed -> failed(end.failure, end.message)
+            }
+        }
+
+        private fun readResumed(
+            request: GenerateRequest,
+            passed: Int,
+            onText: (String) -> Unit,
+        ): EngineEnd {
+            val idle = EngineEnd.Failed(AttemptFailure.IDLE, "nothing came for ${request.idleLimitMillis} ms")
+            if (faults.hang) return idle
+            core.resume(request.call, this) ?: return idle
+            var known = passed
+            return awaitEnd(request) { text ->
+                onText(text.drop(known))
+                known = maxOf(0, known - text.length)
+            } ?: idle
+        }
+
+        /** Null where nothing comes for the idle limit. */
+        private fun awaitEnd(
+            request: GenerateRequest,
+            onText: (String) -> Unit,
+        ): EngineEnd? {
             while (true) {
                 val leftMillis = request.deadlineMillis - System.currentTimeMillis()
-                if (leftMillis <= 0) return failed(AttemptFailure.DEADLINE, "the deadline passed")
+                if (leftMillis <= 0) return EngineEnd.Failed(AttemptFailure.DEADLINE, "the deadline passed")
                 when (val item = queue.poll(minOf(leftMillis, request.idleLimitMillis), TimeUnit.MILLISECONDS)) {
-                    null -> if (leftMillis > request.idleLimitMillis) return failed(AttemptFailure.IDLE, "nothing came")
+                    null -> if (leftMillis > request.idleLimitMillis) return null
                     is String -> onText(item)
-                    is EngineEnd.Done -> return Ok(item.generated)
-                    is EngineEnd.Failed -> return failed(item.failure, item.message)
+                    is EngineEnd -> return item
                 }
             }
         }
--- /dev/null
+++ b/standins/src/test/kotlin/lavendertrail/standins/ToolStandinTest.kt
@@ -0,0 +1,11 @@
+package lavendertrail.standins
+
+import lavendertrail.ports.ToolService
+
+/** The contract in process. */
+class ToolStandinTest : ToolServiceContract() {
+    override fun withService(
+        settings: ToolSettings,
+        action: (ToolStandin, ToolService) -> Unit,
+    ): Unit = ToolStandin(settings).use { action(it, it) }
+}
