--- a/node/src/main/kotlin/lavendertrail/node/Peers.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Peers.kt
@@ -19,7 +19,11 @@
 
     /** Null where no record names [peer]. */
     fun peer(peer: NodeId): PeerService? {
-        val address = state().membership.record(peer)?.peerAddress ?: return null
+        val address =
+            state()
+                .membership.peers[peer]
+                ?.record
+                ?.peerAddress ?: return null
         val existing = connections[peer]
         if (existing?.address == address) return existing.service
         return connections
