--- a/standins/src/main/kotlin/lavendertrail/standins/PlatformRecords.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/PlatformRecords.kt
@@ -26,7 +26,11 @@
     public val key: String get() = "lavendertrail/config/$kind/$name"
 }
 
-private val json = Json { encodeDefaults = true }
+private val json =
+    Json {
+        encodeDefaults = true
+        explicitNulls = false
+    }
 
 private const val SCHEMA_VERSION = 1
 
--- /dev/null
+++ b/standins/src/test/kotlin/lavendertrail/standins/EngineAnswersTest.kt
@@ -0,0 +1,90 @@
+package lavendertrail.standins
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import lavendertrail.adapters.httpModelEngine
+import lavendertrail.http.ChunkStream
+import lavendertrail.model.ServerId
+import lavendertrail.reducer.AttemptFailure
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Response
+import org.http4k.core.Status
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** How the engine adapter reads answers of other engines, which the stand-in never gives. */
+class EngineAnswersTest {
+    private data class Case(
+        val name: String,
+        val failure: AttemptFailure,
+        val response: () -> Response,
+    )
+
+    /** Guards against an answer that was cut and is taken for whole, and against "not run" without proof. */
+    @Test
+    fun `answers that are not whole are failures`() {
+        val text = "data: {\"choices\":[{\"delta\":{\"content\":\"abc \"}}]}\n\n"
+        val usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1}}\n\n"
+        listOf(
+            Case("end without a mark", AttemptFailure.CONNECTION_LOST) { events(text + usage) },
+            Case("no usage", AttemptFailure.ERROR) { events(text + "data: [DONE]\n\n") },
+            Case("error event", AttemptFailure.ERROR) { events(text + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n") },
+            Case("unreadable event", AttemptFailure.ERROR) { events("data: {no json\n\n") },
+            Case("status 400", AttemptFailure.REJECTED) { Response(Status.BAD_REQUEST).body("bad prompt") },
+            Case("status 500", AttemptFailure.ERROR) { Response(Status.INTERNAL_SERVER_ERROR) },
+            Case("status 502", AttemptFailure.ERROR) { Response(Status.BAD_GATEWAY) },
+            Case("status 503", AttemptFailure.BUSY) { Response(Status.SERVICE_UNAVAILABLE) },
+            Case("cut connection", AttemptFailure.CONNECTION_LOST) { cutConnection() },
+        ).forEach { case ->
+            serving({ case.response() }) { address ->
+                val error = httpModelEngine(ServerId("other"), address).generate(testRequest(TEST_MODEL, "x")) {}.getError()
+                assertEquals(case.name to case.failure, case.name to error?.failure)
+            }
+        }
+    }
+
+    /** Guards against a deadline that is noticed only when the next byte comes. */
+    @Test
+    fun `a silent stream ends at the deadline of the call`() {
+        serving({ Response(Status.OK).body(Body(ChunkStream())) }) { address ->
+            val request = testRequest(TEST_MODEL, "x").copy(deadlineMillis = System.currentTimeMillis() + 300, idleLimitMillis = 20_000)
+            val start = System.nanoTime()
+            assertEquals(AttemptFailure.DEADLINE, httpModelEngine(ServerId("e"), address).generate(request) {}.getError()?.failure)
+            assertTrue((System.nanoTime() - start) / 1_000_000 in 250..2_900)
+        }
+    }
+
+    /** Guards against text that arrives only with the end of the answer. */
+    @Test
+    fun `text is passed on as it comes`() {
+        val stream = ChunkStream()
+        serving({ Response(Status.OK).body(Body(stream)) }) { address ->
+            var pieces = 0
+            stream.send("data: {\"choices\":[{\"delta\":{\"content\":\"0 \"}}]}\n\n")
+            val done =
+                httpModelEngine(ServerId("e"), address)
+                    .generate(testRequest(TEST_MODEL, "x")) { text ->
+                        assertEquals("$pieces ", text)
+                        pieces++
+                        if (pieces < 20) {
+                            stream.send("data: {\"choices\":[{\"delta\":{\"content\":\"$pieces \"}}]}\n\n")
+                        } else {
+                            stream.send("data: {\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":20}}\n\ndata: [DONE]\n\n")
+                            stream.end()
+                        }
+                    }.getOrElse { error(it) }
+            assertEquals(20 to 20L, pieces to done.generatedTokens)
+        }
+    }
+
+    private fun events(text: String): Response = Response(Status.OK).header("content-type", "text/event-stream").body(text)
+
+    private fun serving(
+        handler: HttpHandler,
+        action: (String) -> Unit,
+    ) {
+        StandinServer(LOOPBACK, handler).use { action(it.address) }
+    }
+}
