--- a/ctl/src/main/kotlin/lavendertrail/capacity/DecisionDriver.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/DecisionDriver.kt
@@ -67,7 +67,10 @@
         send(ConfigRecordsReceived(configuration(servers), servers + 10L, "measurement"))
         send(NodeRecordsRead(listOf(self)))
         repeat(SETTLE_TICKS) { tick() }
-        check(state.membership.owned.values.count { it.isActive } == partitions) { "owned partitions: ${state.membership.owned}" }
+        check(
+            state.membership.owned.values
+                .count { it.isActive } == partitions,
+        ) { "owned partitions: ${state.membership.owned}" }
     }
 
     fun tick() {
--- a/ctl/src/main/kotlin/lavendertrail/capacity/FleetMeasurements.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/FleetMeasurements.kt
@@ -25,10 +25,39 @@
 internal fun measureFleet(sizes: List<Int> = fleetSizes): List<Measurement> {
     val costs = sizes.map(::steadyCost)
     return listOf(
-        measurement("membership, bytes sent and received", "nodes in the region", "bytes per node and second", costs.map { it.nodes to it.bytesPerSecond }),
-        measurement("membership, processor time", "nodes in the region", "percent of a core per node", costs.map { it.nodes to it.cpuPercent }),
-        measurement("membership, allocation", "nodes in the region", "bytes per node and second", costs.map { it.nodes to it.allocatedPerSecond }),
-        measurement("a change spread by probes alone", "nodes in the region", "ms until all have it", costs.map { it.nodes to it.configMillis }),
+        measurement(
+            "membership, bytes sent and received",
+            "nodes in the region",
+            "bytes per node and second",
+            costs.map {
+                it.nodes to
+                    it.bytesPerSecond
+            },
+        ),
+        measurement(
+            "membership, processor time",
+            "nodes in the region",
+            "percent of a core per node",
+            costs.map { it.nodes to it.cpuPercent },
+        ),
+        measurement(
+            "membership, allocation",
+            "nodes in the region",
+            "bytes per node and second",
+            costs.map {
+                it.nodes to
+                    it.allocatedPerSecond
+            },
+        ),
+        measurement(
+            "a change spread by probes alone",
+            "nodes in the region",
+            "ms until all have it",
+            costs.map {
+                it.nodes to
+                    it.configMillis
+            },
+        ),
     )
 }
 
@@ -45,7 +74,8 @@
     val allocated = fleet.allocatedBytes
     fleet.run(STEADY_MILLIS)
     val nodeSeconds = nodes * STEADY_MILLIS / 1_000.0
-    val change = StoredRecord("owner", "barakah", """{"schemaVersion":1,"owner":"barakah","region":"region","weight":2}""", revision = 900_000)
+    val change =
+        StoredRecord("owner", "barakah", """{"schemaVersion":1,"owner":"barakah","region":"region","weight":2}""", revision = 900_000)
     val bytesPerSecond = 2 * (fleet.probeBytes - bytes) / nodeSeconds
     val cpuPercent = (fleet.cpuNanos - cpu) / 1e9 / nodeSeconds * 100
     val allocatedPerSecond = (fleet.allocatedBytes - allocated) / nodeSeconds
@@ -75,7 +105,13 @@
     val domain = fleet.failureDomainOf(fleet.names.first())
     val candidates = if (byDomain) fleet.names.filter { fleet.failureDomainOf(it) == domain } else fleet.names
     val lost = choose(candidates)
-    val moved = lost.sumOf { node -> fleet.state(node).membership.owned.values.count { it.isActive } }
+    val moved =
+        lost.sumOf { node ->
+            fleet
+                .state(node)
+                .membership.owned.values
+                .count { it.isActive }
+        }
     val writes = fleet.serviceWrites
     val reads = fleet.serviceReads
     val probes = fleet.probes
--- a/ctl/src/main/kotlin/lavendertrail/capacity/FleetModel.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/FleetModel.kt
@@ -112,7 +112,11 @@
 
     private fun hasActiveOwner(partition: PartitionId): Boolean {
         val owner = records[partition]?.first?.ownerNode ?: return false
-        return owner !in stopped && states.getValue(owner).membership.owned[partition]?.isActive == true
+        return owner !in stopped &&
+            states
+                .getValue(owner)
+                .membership.owned[partition]
+                ?.isActive == true
     }
 
     /** Puts a configuration record into one node, as if its watch alone had worked. */
