--- a/node/src/main/kotlin/lavendertrail/api/ApiHandler.kt
+++ b/node/src/main/kotlin/lavendertrail/api/ApiHandler.kt
@@ -17,6 +17,7 @@
 internal class ApiHandler(
     private val routes: HttpHandler,
     private val maxOpenRequests: Int,
+    private val streams: () -> Int = { 0 },
     private val onAnswer: (String, Int, Long) -> Unit = { _, _, _ -> },
 ) : HttpHandler {
     private val open = AtomicInteger()
@@ -24,6 +25,9 @@
     /** Requests whose handler hasn't returned. */
     val openRequests: Int get() = open.get()
 
+    /** Streams that are being sent, whose handler has returned. */
+    val openStreams: Int get() = streams()
+
     override fun invoke(request: Request): Response {
         val begin = System.nanoTime()
         val number = open.incrementAndGet()
--- a/node/src/main/kotlin/lavendertrail/api/CallRoutes.kt
+++ b/node/src/main/kotlin/lavendertrail/api/CallRoutes.kt
@@ -23,12 +23,18 @@
 import org.http4k.routing.routes
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ExecutionException
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Model calls and their streams. */
 internal class CallRoutes(
     private val entry: Entry,
     private val background: Background,
 ) {
+    private val streams = AtomicInteger()
+
+    /** Streams whose last event hasn't been written. */
+    val openStreams: Int get() = streams.get()
+
     val routes: RoutingHttpHandler =
         routes(
             "/v1/chat/completions" bind Method.POST to ::complete,
@@ -84,6 +90,7 @@
         val body = ChunkStream()
         val events = EventStream(call.call, model, body, fromByte)
         val first = CompletableFuture<Response>()
+        streams.incrementAndGet()
         background.run("stream of ${call.call}") {
             try {
                 val reply =
@@ -100,6 +107,8 @@
             } catch (fault: RuntimeException) {
                 body.end()
                 first.completeExceptionally(fault)
+            } finally {
+                streams.decrementAndGet()
             }
         }
         return try {
--- a/node/src/main/kotlin/lavendertrail/api/ProgramIds.kt
+++ b/node/src/main/kotlin/lavendertrail/api/ProgramIds.kt
@@ -32,15 +32,14 @@
         return programId(region, owned[random.nextInt(owned.size)], randomSuffix())
     }
 
-    private fun partitions(): List<PartitionId> = (0 until state().settings.membership.partitionsInUse).map { PartitionId(it) }
+    private fun partitions(): List<PartitionId> = state().settings.membership.regionPartitions
 
-    private fun owned(): List<PartitionId> {
-        val current = state()
-        return current.membership.partitions
-            .filterValues { it.record?.ownerNode == current.self.node }
+    private fun owned(): List<PartitionId> =
+        state()
+            .membership.owned
+            .filterValues { it.isActive }
             .keys
             .toList()
-    }
 
     private fun randomSuffix(): String {
         val bytes = ByteArray(RANDOM_BYTES).also(random::nextBytes)
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/dev/HistoryPage.kt
@@ -0,0 +1,11 @@
+package lavendertrail.dev
+
+import kotlinx.serialization.Serializable
+import lavendertrail.history.HistoryRecord
+
+/** Answer of `GET /v1/programs/{id}/history`. */
+@Serializable
+internal data class HistoryPage(
+    val program: String,
+    val records: List<HistoryRecord>,
+)
--- a/node/src/main/kotlin/lavendertrail/node/AttemptExecutor.kt
+++ b/node/src/main/kotlin/lavendertrail/node/AttemptExecutor.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import lavendertrail.model.CallBody
+import lavendertrail.model.Message
 import lavendertrail.model.StepError
 import lavendertrail.model.ToolId
 import lavendertrail.model.Usage
@@ -11,6 +12,9 @@
 import lavendertrail.ports.ModelEngine
 import lavendertrail.ports.ToolRequest
 import lavendertrail.ports.ToolService
+import lavendertrail.program.HistoryTexts
+import lavendertrail.program.promptChain
+import lavendertrail.program.promptMessages
 import lavendertrail.reducer.AttemptFailure
 import lavendertrail.reducer.CallAttemptFailed
 import lavendertrail.reducer.CallCompleted
@@ -24,6 +28,7 @@
 internal class AttemptExecutor(
     private val backends: BackendPool,
     private val hub: StreamHub,
+    private val texts: HistoryTexts,
     private val background: Background,
     private val state: () -> NodeState,
     private val emit: (Event) -> Unit,
@@ -74,9 +79,11 @@
         body: CallBody.ModelCall,
         engine: ModelEngine,
     ): Event {
+        val messages = state().promptMessages(effect.call, texts)
+        if (messages.isEmpty()) return effect.failed(AttemptFailure.REJECTED, "call ${effect.call} is not open at this node")
         val text = StringBuilder()
         val answer =
-            engine.generate(effect.toGenerateRequest(body)) { chunk ->
+            engine.generate(effect.toGenerateRequest(body, messages)) { chunk ->
                 gate.pass()
                 if (text.isEmpty()) emit(CallFirstToken(effect.call, effect.attempt))
                 text.append(chunk)
@@ -88,13 +95,16 @@
         )
     }
 
-    private fun StartAttempt.toGenerateRequest(body: CallBody.ModelCall): GenerateRequest =
+    private fun StartAttempt.toGenerateRequest(
+        body: CallBody.ModelCall,
+        prompt: List<Message>,
+    ): GenerateRequest =
         GenerateRequest(
             call = call,
             attempt = attempt,
             model = body.model,
-            messages = body.messages,
-            chainHashes = promptChain.map { it.chainHash },
+            messages = prompt,
+            chainHashes = promptChain.ifEmpty { promptChain(prompt) }.map { it.chainHash },
             maxTokens = body.maxTokens,
             temperature = body.temperature,
             priority = priority,
--- a/node/src/main/kotlin/lavendertrail/node/Effects.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Effects.kt
@@ -1,7 +1,9 @@
 package lavendertrail.node
 
+import lavendertrail.journal.JournalReplicator
 import lavendertrail.reducer.AnswerCall
 import lavendertrail.reducer.AnswerEnded
+import lavendertrail.reducer.AnswerFromHistory
 import lavendertrail.reducer.AnswerHistory
 import lavendertrail.reducer.AnswerOpened
 import lavendertrail.reducer.AppendHistory
@@ -27,21 +29,15 @@
 import lavendertrail.reducer.SwapPartition
 import lavendertrail.reducer.TransferCache
 
-/** Executes what the journal is asked for; both calls return at once. */
-internal interface JournalEffects {
-    fun append(effect: AppendHistory)
-
-    fun recover(effect: RecoverPartition)
-}
-
 /** Hands each effect of a step to the part of the node that executes it. Runs on the runner's thread and never blocks. */
 internal class Effects(
     private val owner: LocalOwner,
+    private val histories: HistoryAnswers,
     private val attempts: AttemptExecutor,
     private val engines: EngineCommands,
     private val records: ServiceRecords,
     private val peers: PeerCommands,
-    private val journal: JournalEffects,
+    private val journal: JournalReplicator,
     private val saveConfig: (SaveConfig) -> Unit,
     private val onShutdownReady: () -> Unit,
 ) {
@@ -54,7 +50,8 @@
             is AnswerOpened -> owner.answer(effect)
             is AnswerCall -> owner.answer(effect)
             is AnswerEnded -> owner.answer(effect)
-            is AnswerHistory -> owner.answer(effect)
+            is AnswerHistory -> histories.answer(effect)
+            is AnswerFromHistory -> histories.answer(effect)
             is AttachStream -> owner.attach(effect)
             is RefuseRequest -> owner.refuse(effect)
             is StartAttempt -> start(effect)
--- a/node/src/main/kotlin/lavendertrail/node/LocalOwner.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalOwner.kt
@@ -1,5 +1,6 @@
 package lavendertrail.node
 
+import lavendertrail.history.HistoryRecord
 import lavendertrail.model.CallBody
 import lavendertrail.model.CallId
 import lavendertrail.model.CallResult
@@ -10,7 +11,6 @@
 import lavendertrail.peer.SubmitRequest
 import lavendertrail.reducer.AnswerCall
 import lavendertrail.reducer.AnswerEnded
-import lavendertrail.reducer.AnswerHistory
 import lavendertrail.reducer.AnswerOpened
 import lavendertrail.reducer.AttachStream
 import lavendertrail.reducer.CallSubmitted
@@ -23,13 +23,11 @@
 import lavendertrail.reducer.RefuseRequest
 import lavendertrail.reducer.SettleRequested
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicLong
 
 /** Requests to programs that this node owns: turns them into events, and answers of the reducer into replies. */
 internal class LocalOwner(
     private val hub: StreamHub,
-    private val pool: Executor,
     private val emit: (Event) -> Unit,
 ) {
     private val nextId = AtomicLong(1)
@@ -84,8 +82,10 @@
 
     fun answer(effect: AnswerEnded): Unit = finish(effect.requestId, SubmitReply.Ended(effect.total))
 
-    /** A history may be megabytes long and is encoded by the listener, so the runner's thread doesn't do it. */
-    fun answer(effect: AnswerHistory): Unit = pool.execute { finish(effect.requestId, SubmitReply.History(effect.records)) }
+    fun answerHistory(
+        requestId: Long,
+        records: List<HistoryRecord>,
+    ): Unit = finish(requestId, SubmitReply.History(records))
 
     fun refuse(effect: RefuseRequest): Unit = finish(effect.requestId, SubmitReply.Refused(effect.refusal))
 
--- /dev/null
+++ b/node/src/main/kotlin/lavendertrail/node/Node.kt
@@ -0,0 +1,211 @@
+package lavendertrail.node
+
+import lavendertrail.api.nodeApi
+import lavendertrail.http.HttpBinding
+import lavendertrail.http.HttpServer
+import lavendertrail.http.httpServer
+import lavendertrail.journal.JournalReplicator
+import lavendertrail.journal.JournalStore
+import lavendertrail.journal.fileJournalStore
+import lavendertrail.membership.NodeRecord
+import lavendertrail.model.FailureDomain
+import lavendertrail.model.NodeId
+import lavendertrail.model.RegionId
+import lavendertrail.peer.PeerLimits
+import lavendertrail.peer.PeerServer
+import lavendertrail.peer.PeerService
+import lavendertrail.peer.peerClient
+import lavendertrail.peer.peerServer
+import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.ReducerSettings
+import lavendertrail.reducer.ShutdownRequested
+import lavendertrail.settings.NodeSettings
+import org.tinylog.kotlin.Logger
+import java.io.File
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/**
+ * One lavendertrail process: the runner with its executors, the API for callers and operators, and the service for other
+ * nodes. Several can run in one JVM.
+ *
+ * ```kotlin
+ * val node = Node(settings, httpPlatform(settings.platform))
+ * node.start()
+ * node.drain()     // hands its partitions over; no request is cut
+ * ```
+ */
+public class Node(
+    public val settings: NodeSettings,
+    private val platform: Platform,
+    journalStore: JournalStore? = settings.dataFolder?.let { fileJournalStore(Path.of(it).resolve("journal"), settings.journal) },
+) : AutoCloseable {
+    private val gate = PauseGate()
+    private val background = Background(settings.node, gate)
+    private val hub = StreamHub()
+    private val metrics = NodeMetrics()
+    private val store = journalStore
+    private val peerPort = if (settings.peer.port == 0) freePort(settings.peer.ip) else settings.peer.port
+    private val apiPort = if (settings.api.port == 0) freePort(settings.api.ip) else settings.api.port
+    private val self = selfRecord()
+    private val runner: Runner =
+        Runner(
+            initial = NodeState(self, ReducerSettings(settings.programs, settings.dispatch, settings.membership)),
+            tickMillis = settings.timing.tickMillis,
+            recorder = settings.log.eventLogFile?.let { EventRecorder(File(it)) },
+            gate = gate,
+            observe = ::observe,
+            execute = { effects.execute(it) },
+        )
+    private val service = MeteredKeyValueService(platform.keyValue, runner::submit)
+    private val owner = LocalOwner(hub, runner::submit)
+    private val peerService = LocalPeerService(runner::state, owner, store, runner::submit, ::dump, gate)
+    private val security = settings.peer.toSecurity()
+    private val peers = Peers(runner::state) { address -> peerClient(address, peerLimits(), security) }
+    private val replicator = JournalReplicator(::journalPeer, runner::submit)
+    private val texts = JournalTexts(runner::state, ::journalPeer)
+    private val backends = BackendPool(platform, runner::state)
+    private val reachability = ReachabilityLog(runner::submit)
+    private val attempts = AttemptExecutor(backends, hub, texts, background, runner::state, runner::submit, gate)
+    private val configFile = settings.dataFolder?.let { ConfigFile(Path.of(it)) }
+    private val shutdownReady = CountDownLatch(1)
+    private val effects: Effects =
+        Effects(
+            owner = owner,
+            histories = HistoryAnswers(owner, texts, background),
+            attempts = attempts,
+            engines = EngineCommands(backends, platform.weightStore, reachability, background, runner::state, runner::submit),
+            records = ServiceRecords(service, background, runner::submit),
+            peers = PeerCommands(peers, background, runner::state, runner::submit),
+            journal = replicator,
+            saveConfig = { effect -> background.run("config file") { configFile?.save(effect.records, effect.headRevision) } },
+            onShutdownReady = shutdownReady::countDown,
+        )
+    private val lease = NodeLease(service, background, settings.timing.leaseTtlMillis, settings.timing.leaseRenewMillis, ::leaseRecord)
+    private val watch = ServiceWatch(service, background, settings.timing.watchIdleMillis, runner::submit)
+    private val polls = Polls(platform.hostList, backends, reachability, background, runner::submit)
+    private val router = EntryRouter(self.node, runner::state, owner, peers, background, onForward = metrics::forwarded)
+    private val api = nodeApi(settings, router, runner::state, background, metrics, service, peers, store, ::dump, ::notReady, gate)
+    private var peerServer: PeerServer? = null
+    private var apiServer: HttpServer? = null
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var leavingSeen = false
+
+    public val name: String get() = settings.node
+
+    /** `ip:port` for callers. */
+    public val apiAddress: String get() = self.apiAddress
+
+    /** The state of the reducer after the last event. */
+    public val state: NodeState get() = runner.state
+
+    public fun start() {
+        runner.start()
+        configFile?.load()?.let(runner::submit)
+        peerServer = peerServer(settings.peer.ip, peerPort, peerService, security)
+        background.run("node lease") { lease.start() }
+        watch.start()
+        polls.start(settings.timing.hostListPollMillis, settings.timing.cacheEventPollMillis)
+        background.every(SWEEP_MILLIS, "sweep") { sweep() }
+        metrics.bindRunner(runner)
+        metrics.bindState(runner)
+        metrics.bindService(service)
+        apiServer = httpServer(HttpBinding(settings.api.ip, apiPort, settings.api.toTls()), settings.api.toLimits(), api)
+        Logger.info("node: ${settings.node} in ${settings.failureDomain} serves callers at $apiAddress, nodes at ${self.peerAddress}")
+    }
+
+    /** True once the node wants connections: it has configuration and isn't draining. */
+    public fun isReady(): Boolean = notReady() == null
+
+    /**
+     * Leaves in order: /readyz fails first, so that the balancer sends no new connections; then partitions are handed
+     * over, and the node stops when no request is open. False where the limit passed before.
+     */
+    public fun drain(limitMillis: Long = settings.timing.shutdownLimitMillis): Boolean {
+        draining = true
+        val until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis)
+        Logger.info("node: ${settings.node} is draining")
+        Thread.sleep(minOf(settings.timing.unreadyBeforeDrainMillis, limitMillis))
+        runner.submit(ShutdownRequested)
+        val handedOver = shutdownReady.await(until - System.nanoTime(), TimeUnit.NANOSECONDS)
+        while ((api.openRequests > 0 || api.openStreams > 0 || owner.waiting > 0) &&
+            System.nanoTime() < until
+        ) {
+            Thread.sleep(DRAIN_POLL_MILLIS)
+        }
+        val quiet = api.openRequests == 0 && api.openStreams == 0
+        Logger.info("node: ${settings.node} drained, handed over: $handedOver, requests ended: $quiet")
+        lease.revoke()
+        close()
+        return handedOver && quiet
+    }
+
+    /** Stops at once, as a crash does: nothing is handed over, open connections break, the lease stays. */
+    override fun close() {
+        gate.open()
+        apiServer?.stop()
+        peerServer?.close()
+        watch.close()
+        runner.close()
+        replicator.close()
+        background.close()
+        peers.close()
+        backends.close()
+        store?.close()
+    }
+
+    /** Freezes the node, as a stopped process or a long garbage collection would; connections stay open. */
+    public fun pause(): Unit = gate.close()
+
+    public fun resume(): Unit = gate.open()
+
+    private fun dump(): String = dump(runner.state, runner.stats(), service.counts(), owner.waiting).toString()
+
+    private fun notReady(): String? =
+        when {
+            draining -> "draining"
+            runner.state.config.headRevision == 0L -> "no configuration yet"
+            else -> null
+        }
+
+    private fun journalPeer(node: NodeId): PeerService? = if (node == self.node) peerService else peers.peer(node)
+
+    private fun leaseRecord(): NodeRecord = runner.state.self.copy(leaving = runner.state.membership.shuttingDown)
+
+    /** The record in the service tells other nodes that this one leaves, so it is written as soon as that is decided. */
+    private fun observe(state: NodeState) {
+        if (state.membership.shuttingDown && !leavingSeen) {
+            leavingSeen = true
+            background.run("node record") { lease.renew() }
+        }
+    }
+
+    private fun sweep() {
+        hub.sweep(TimeUnit.MILLISECONDS.toNanos(KEEP_TEXT_MILLIS))
+        peers.sweep()
+    }
+
+    private fun peerLimits(): PeerLimits = PeerLimits(probeMillis = settings.membership.probeTimeoutMillis)
+
+    private fun selfRecord(): NodeRecord =
+        NodeRecord(
+            node = NodeId(settings.node),
+            region = RegionId(settings.region),
+            failureDomain = FailureDomain(settings.failureDomain),
+            peerAddress = "${settings.peer.ip}:$peerPort",
+            apiAddress = "${settings.api.ip}:$apiPort",
+            incarnation = System.currentTimeMillis(),
+            journal = store != null,
+        )
+
+    private companion object {
+        const val SWEEP_MILLIS = 5_000L
+        const val KEEP_TEXT_MILLIS = 60_000L
+        const val DRAIN_POLL_MILLIS = 20L
+    }
+}
--- a/node/src/main/kotlin/lavendertrail/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/NodeSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import lavendertrail.dispatch.DispatchSettings
+import lavendertrail.journal.JournalSettings
 import lavendertrail.membership.MembershipSettings
 import lavendertrail.program.ProgramSettings
 
@@ -22,6 +23,7 @@
     public val timing: TimingSettings = TimingSettings(),
     public val log: LogSettings = LogSettings(),
     public val journal: JournalSettings = JournalSettings(),
+    public val historyRetentionDays: Int = 30,
     public val programs: ProgramSettings = ProgramSettings(),
     public val dispatch: DispatchSettings = DispatchSettings(),
     public val membership: MembershipSettings = MembershipSettings(),
@@ -88,10 +90,3 @@
     public val format: String = "text",
     public val eventLogFile: String? = null,
 )
-
-@Serializable
-public data class JournalSettings(
-    public val fsync: String = "interval",
-    public val fsyncMillis: Long = 50,
-    public val historyRetentionDays: Int = 30,
-)
--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -75,8 +75,10 @@
             (Anything means "File to which all events are recorded for a replay; for diagnosis only, it grows without limit."),
         "journal.fsync" to
             (Choice(listOf("interval", "always")) means "Flush journals to disk in intervals, or before each acknowledgement."),
-        "journal.fsyncMillis" to (millis(1, 10_000) means "Interval of flushes."),
-        "journal.historyRetentionDays" to (Range(1L..3_650) means "Time for which histories of ended programs are kept."),
+        "journal.fsyncIntervalMillis" to (millis(1, 10_000) means "Interval of flushes."),
+        "journal.segmentBytes" to (Range(1_048_576L..1_073_741_824) means "Size at which a journal file is closed and the next begun."),
+        "journal.maxOpenFiles" to (Range(8L..100_000) means "Journal files that are kept open."),
+        "historyRetentionDays" to (Range(1L..3_650) means "Time for which histories of ended programs are kept."),
     )
 
 private val reducerTexts: Map<String, SettingText> =
--- a/node/src/main/kotlin/lavendertrail/settings/SettingsCatalogue.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingsCatalogue.kt
@@ -74,7 +74,7 @@
 @OptIn(ExperimentalSerializationApi::class)
 private fun typeOf(kind: SerialKind): SettingType =
     when (kind) {
-        PrimitiveKind.STRING -> SettingType.TEXT
+        PrimitiveKind.STRING, SerialKind.ENUM -> SettingType.TEXT
         PrimitiveKind.BOOLEAN -> SettingType.BOOLEAN
         StructureKind.LIST -> SettingType.LIST
         else -> SettingType.NUMBER
