Bound the cost of failure detection when many nodes fail at once

Cause: counting observers scanned all suspicions for each peer, and each node found dead reassigned all partitions. Change: suspicions are grouped once per tick, liveness is recomputed at most every 200 ms, rendezvous scores use primitive arrays. Conclusion: profiles showed these two places and no other.

--- a/core/src/main/kotlin/lavendertrail/membership/FailureDetector.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/FailureDetector.kt
@@ -95,25 +95,36 @@
  * longer listed count.
  */
 internal fun NodeState.computeDead(nowMillis: Long): Set<NodeId> {
-    val region = membership.peers.values.filter { it.record.region == self.region }
-    val suspected = region.filter { isSuspectedByEnough(it, region.size, nowMillis) }
-    val unlisted = region.filter { !it.listed && isFailing(it, nowMillis) }
-    val counted = if (suspected.size * 2 > region.size + 1) unlisted else suspected + unlisted
+    val observers = otherObservers()
+    val candidates =
+        membership.peers.values.filter {
+            it.record.region == self.region &&
+                (it.record.node in observers || isFailing(it, nowMillis))
+        }
+    if (candidates.isEmpty()) return emptySet()
+    val peersInRegion = membership.peers.values.count { it.record.region == self.region }
+    val suspected = candidates.filter { isSuspectedByEnough(it, observers[it.record.node].orEmpty(), peersInRegion, nowMillis) }
+    val unlisted = candidates.filter { !it.listed && isFailing(it, nowMillis) }
+    val counted = if (suspected.size * 2 > peersInRegion + 1) unlisted else suspected + unlisted
     return counted.map { it.record.node }.toSet()
 }
 
+/** Who else suspects which node in its present incarnation. Dead observers don't count. */
+private fun NodeState.otherObservers(): Map<NodeId, Set<NodeId>> =
+    membership.suspicions.keys
+        .filter { it.observer !in membership.dead && membership.peers[it.node]?.record?.incarnation == it.incarnation }
+        .groupBy({ it.node }, { it.observer })
+        .mapValues { it.value.toSet() }
+
 private fun NodeState.isSuspectedByEnough(
     peer: PeerView,
+    others: Set<NodeId>,
     peersInRegion: Int,
     nowMillis: Long,
 ): Boolean {
     val heardMillis = peer.lastHeardMillis
     if (heardMillis != null && nowMillis - heardMillis < settings.membership.suspectAfterMillis) return false
-    val others =
-        membership.suspicions.keys.count {
-            it.node == peer.record.node && it.incarnation == peer.record.incarnation && it.observer !in membership.dead
-        }
-    val observers = others + if (isFailing(peer, nowMillis)) 1 else 0
+    val observers = others.size + if (isFailing(peer, nowMillis)) 1 else 0
     return observers >= minOf(REQUIRED_OBSERVERS, peersInRegion)
 }
 
--- a/core/src/main/kotlin/lavendertrail/membership/MembershipReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/MembershipReducer.kt
@@ -75,9 +75,13 @@
     return state.copy(membership = state.membership.copy(lastTickMillis = nowMillis))
 }
 
+/** A lost failure domain is noticed node by node; without this interval each of them would reassign all partitions. */
+private const val LIVENESS_INTERVAL_MILLIS = 200L
+
 /** Recomputes who is alive, and who should own what where that changed. */
 private fun NodeState.updateLiveness(nowMillis: Long): NodeState {
     val updated = copy(membership = membership.copy(dead = computeDead(nowMillis)))
+    if (nowMillis < membership.liveChangedMillis + LIVENESS_INTERVAL_MILLIS) return updated
     val live = updated.computeLive()
     if (live == membership.live) return updated
     val desired = desiredOwners(settings.membership.regionPartitions, live)
--- a/core/src/main/kotlin/lavendertrail/membership/Rendezvous.kt
+++ b/core/src/main/kotlin/lavendertrail/membership/Rendezvous.kt
@@ -20,12 +20,31 @@
     val seeds = LongArray(nodes.size) { stableHash(nodes[it].value) }
     val loads = IntArray(nodes.size)
     return partitions.associateWith { partition ->
-        val chosen = seeds.indices.filter { loads[it] < maxLoad }.maxBy { mix(seeds[it] xor mix(partition.index.toLong())) }
+        val chosen = highestScore(seeds, loads, maxLoad, mix(partition.index.toLong()))
         loads[chosen]++
         nodes[chosen]
     }
 }
 
+/** Index of the node with the highest score among those below [maxLoad]. */
+private fun highestScore(
+    seeds: LongArray,
+    loads: IntArray,
+    maxLoad: Int,
+    key: Long,
+): Int {
+    var chosen = -1
+    var highest = Long.MIN_VALUE
+    for (index in seeds.indices) {
+        val score = mix(seeds[index] xor key)
+        if (loads[index] < maxLoad && (chosen < 0 || score > highest)) {
+            chosen = index
+            highest = score
+        }
+    }
+    return chosen
+}
+
 /** Sorts nodes by preference for [partition]. */
 internal fun List<NodeRecord>.rankedFor(partition: PartitionId): List<NodeRecord> =
     sortedByDescending { mix(stableHash(it.node.value) xor mix(partition.index.toLong() + JOURNAL_SALT)) }
