Keep the prompt free of empty answers to repeated keys

The schedules now also check prompts and their chains, the whole charge of unknown use, and acknowledgements of a former epoch.

--- a/core/src/main/kotlin/lavendertrail/program/ProgramFold.kt
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramFold.kt
@@ -95,8 +95,12 @@
             reservation = reservationOf(started),
             deadlineMillis = started.deadlineMillis,
             startedMillis = record.atMillis,
-            body = body,
-            chain = (body as? CallBody.ModelCall)?.let { program.chain.plus(it.messages, settings.bytesPerToken) },
+            // The answer to a key that was used before is in the history of the first call with that key.
+            body = body.takeUnless { started.kind == CallKind.SAME_KEY },
+            chain =
+                (body as? CallBody.ModelCall)
+                    ?.takeUnless { started.kind == CallKind.SAME_KEY }
+                    ?.let { program.chain.plus(it.messages, settings.bytesPerToken) },
             sameAs = if (started.kind == CallKind.SAME_KEY) parseCallId(started.target) else null,
         )
     val reserved = if (entry.sameAs == null) nameKey(call, entry) else this
--- a/core/src/test/kotlin/lavendertrail/program/ProgramPromises.kt
+++ b/core/src/test/kotlin/lavendertrail/program/ProgramPromises.kt
@@ -3,8 +3,10 @@
 import lavendertrail.history.HistoryPayload
 import lavendertrail.history.HistoryRecord
 import lavendertrail.model.Budget
+import lavendertrail.model.CallBody
 import lavendertrail.model.CallId
 import lavendertrail.model.CallResult
+import lavendertrail.model.Message
 import lavendertrail.model.ProgramId
 import lavendertrail.model.RefusalReason
 import lavendertrail.model.RunOutcome
@@ -18,8 +20,8 @@
 ) : AssertionError("$checker: $message")
 
 /**
- * Checks what callers and backend servers see against the promises, from the trace alone: it shares no code with the
- * reducer but the record types.
+ * Checks what callers and backend servers see against the promises, from the trace and the journal alone: it shares no
+ * decision with the reducer, only the record types, their content and [promptChain].
  */
 internal class ProgramPromises {
     lateinit var copies: List<List<HistoryRecord>>
@@ -95,6 +97,33 @@
         check("at most once", times - finishedNotRun <= 1) { "$key was dispatched $times times, $finishedNotRun of them not run" }
     }
 
+    /** A prompt is the whole history of its own program, and its chain names exactly these messages. */
+    fun prompted(
+        sent: Sent,
+        messages: List<Message>,
+    ) {
+        val body = sent.call.body as? CallBody.ModelCall ?: return
+        val expected = copies[0].filter { it.program == sent.call.call.program && it.sequence < sent.start }.messages() + body.messages
+        check("prompt", messages == expected) { "${sent.call.call} was sent with $messages instead of $expected" }
+        check("prompt chain", sent.call.promptChain == promptChain(expected)) { "${sent.call.call} has the chain of another prompt" }
+    }
+
+    private fun List<HistoryRecord>.messages(): List<Message> {
+        var body: CallBody? = null
+        return flatMap { record ->
+            val payload = record.payload
+            if (payload is HistoryPayload.CallStarted) body = if (payload.kind == "sameKey") null else decodeBody(record.content.orEmpty())
+            val call = body
+            val answer = record.content.orEmpty()
+            when {
+                payload !is HistoryPayload.CallFinished || payload.refusal != null || call == null -> emptyList()
+                call is CallBody.ModelCall -> call.messages + Message("assistant", answer)
+                call is CallBody.ToolResult -> listOf(Message("tool", call.content))
+                else -> listOf(Message("tool", answer))
+            }
+        }
+    }
+
     private fun notRunStarts(key: String): Int {
         val starts = mutableMapOf<CallId, String?>()
         return copies[0].count { record ->
@@ -223,6 +252,11 @@
                     is HistoryPayload.CallFinished -> {
                         val reserved = tokens.remove(CallId(record.program, payload.position)) ?: 0
                         if (payload.outcome == RunOutcome.NOT_RUN && reserved > 0) turns -= 1
+                        val unknown = payload.refusal != null && payload.outcome != RunOutcome.NOT_RUN
+                        check(
+                            "charge",
+                            !unknown || payload.usage.totalTokens == reserved,
+                        ) { "an unknown use in $program is not charged whole" }
                         closedTokens += payload.usage.totalTokens
                         cost -= CallId(record.program, payload.position)
                         closedCost += payload.usage.costMicros
--- a/core/src/test/kotlin/lavendertrail/program/ProgramSchedule.kt
+++ b/core/src/test/kotlin/lavendertrail/program/ProgramSchedule.kt
@@ -118,6 +118,7 @@
             95 -> if (random.nextInt(6) == 0) send(current, ProgramEndRequested(++requests, programs.random(random), "done"))
             96 -> takeOver()
             97 -> fence()
+            98 -> strayAcknowledgement()
             else -> submit()
         }
     }
@@ -179,6 +180,12 @@
         if (random.nextInt(10) > 0) send(owner, HistoryAppended(root.partition, owner.epoch, append.appendId))
     }
 
+    /** An acknowledgement of a former epoch that reaches the present owner, with an append id that it uses too. */
+    private fun strayAcknowledgement() {
+        val append = current.appends.getOrNull(current.taken.min()) ?: return
+        if (current.epoch > 1) send(current, HistoryAppended(root.partition, current.epoch - 1, append.appendId))
+    }
+
     private fun failAppend(owner: Owner) {
         val append = owner.appends.getOrNull(owner.taken.min()) ?: return
         send(owner, HistoryAppendFailed(root.partition, owner.epoch, append.appendId, fenced = false, "copy is slow"))
@@ -277,6 +284,9 @@
         step.signals.filterIsInstance<DispatchRequested>().forEach { request ->
             val sent = Sent(request.call, owner.openStart.getValue(request.call.call))
             promises.dispatched(sent)
+            // The runner asks a journal copy that may have taken records since.
+            val texts = HistoryTexts { program -> copies[0].filter { it.program == program } }
+            promises.prompted(sent, owner.state.promptMessages(sent.call.call, texts))
             owner.running += sent
         }
     }
