--- a/core/src/main/kotlin/lavendertrail/program/PartitionLifecycle.kt
+++ b/core/src/main/kotlin/lavendertrail/program/PartitionLifecycle.kt
@@ -225,6 +225,7 @@
         body is CallBody.ToolResult -> recordToolResultFinish(call)
         body == null -> unresolved(call, entry, "its body is not readable")
         entry.repeatable -> recoverRepeatable(program, entry, call)
+        isDispatched(call) -> awaitEnd(program, entry)
         body is CallBody.ToolCall && config.tools[body.tool]?.hasStatusCall == true -> askForStatus(program, entry, call, body)
         else -> unresolved(call, entry, "it must not be sent again")
     }
@@ -245,6 +246,15 @@
     }
 }
 
+/** Only the journal moved, and the call still runs here: its end is awaited, and it is not sent again. */
+private fun ProgramWork.awaitEnd(
+    program: Program,
+    entry: CallEntry,
+) {
+    remind(entry.deadlineMillis, Due.CallDeadline(CallId(program.id, entry.position)))
+    dispatch(program, entry.copy(resumeOnly = true))
+}
+
 /** The status call gets a time of its own: the call's deadline may have passed while the owner changed. */
 private fun ProgramWork.askForStatus(
     program: Program,
--- a/core/src/main/kotlin/lavendertrail/program/ProgramWork.kt
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramWork.kt
@@ -39,6 +39,9 @@
 
     fun partition(id: ProgramId): PartitionPrograms? = state.partitions[id.partition]
 
+    /** Whether this node's dispatch runs [call], from before the partition's journal moved. */
+    fun isDispatched(call: CallId): Boolean = call in node.dispatch.core.calls
+
     fun change(
         program: ProgramId,
         change: (Program) -> Program,
