Keep work off a server whose lost connection is not explained yet

A property test with random crashes saw one fingerprint crash three servers, and an innocent call refused as poison. Between a lost connection and the news of the crash the request did not count as running, so a third copy started, and new calls went to the crashed server and were blamed. The request now counts as running there until the verdict, and the server gets no new work meanwhile.

--- a/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
@@ -18,7 +18,6 @@
 // Weight of the newest sample in averages of call times.
 private const val SAMPLE_WEIGHT = 0.1
 private const val MAX_BACKOFF_FACTOR = 16
-private const val VERDICT_POLL_MILLIS = 100L
 
 // Share of an answer's decode time that counts as service: a batch decodes that many answers at once.
 private const val DECODE_SHARE = 1.0 / 16
@@ -80,11 +79,15 @@
             poison = core.poison.ended(entry.call.fingerprint, attempt.server),
         )
     refreshAccount(entry.call.account)
-    val waiters = core.poison.waitingFor(entry.call.fingerprint)
-    if (waiters.isNotEmpty()) {
-        core = core.copy(poison = core.poison.withoutWaiting(entry.call.fingerprint))
-        waiters.forEach { enqueue(it) }
-    }
+    wakeFingerprint(entry.call.fingerprint)
+}
+
+/** Calls that waited for an end of the same request elsewhere are queued again. */
+internal fun DispatchWork.wakeFingerprint(fingerprint: String) {
+    val waiters = core.poison.waitingFor(fingerprint)
+    if (waiters.isEmpty()) return
+    core = core.copy(poison = core.poison.withoutWaiting(fingerprint))
+    waiters.forEach { enqueue(it) }
 }
 
 private val RunningAttempt.pendingTokens: Int get() = if (firstTokenMillis == null) uncachedTokens else 0
@@ -196,7 +199,8 @@
     put(ended)
     when {
         attempt.resume -> resumeFailed(ended, event)
-        event.failure == AttemptFailure.CONNECTION_LOST && entry.call.repeatable && isEngine(attempt.server) -> awaitVerdict(ended, attempt)
+        // The call waits for the verdict about its server.
+        event.failure == AttemptFailure.CONNECTION_LOST && entry.call.repeatable && isEngine(attempt.server) -> Unit
         else -> retryOrRefuse(ended, event.failure, event.message)
     }
     pumpServer(attempt.server)
@@ -219,11 +223,8 @@
             overloaded(server, 0)
             backOff(server)
         }
-        AttemptFailure.CONNECTION_LOST -> {
-            val loss = Loss(entry.call.fingerprint, entry.call.call, nowMillis)
-            changeView(server) { view -> view.copy(losses = view.losses.filter { nowMillis - it.atMillis <= BLAME_WINDOW_MILLIS } + loss) }
-            if (isEngine(server)) poll(server, VERDICT_POLL_MILLIS) else backOff(server)
-        }
+        AttemptFailure.CONNECTION_LOST -> if (isEngine(server)) noteLoss(entry, server) else backOff(server)
+
         AttemptFailure.DEADLINE, AttemptFailure.ERROR, AttemptFailure.UNKNOWN_STREAM -> Unit
     }
 }
@@ -255,13 +256,6 @@
     setTimer(untilMillis, Timer.Wake(server))
 }
 
-private fun DispatchWork.awaitVerdict(
-    entry: CallEntry,
-    attempt: RunningAttempt,
-) {
-    setTimer(entry.call.call, nowMillis + settings.crashVerdictMillis, Timer.Verdict(entry.call.call, attempt.server))
-}
-
 internal fun DispatchWork.retryOrRefuse(
     entry: CallEntry,
     failure: AttemptFailure,
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchWork.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchWork.kt
@@ -103,7 +103,8 @@
 
     fun hasRoom(record: ServerRecord): Boolean {
         val view = view(record.server)
-        if (view.isolatedBy != null || view.backoffUntilMillis > nowMillis || view.running.size >= limitOf(record)) return false
+        if (view.isolatedBy != null || view.isDoubtful || view.backoffUntilMillis > nowMillis) return false
+        if (view.running.size >= limitOf(record)) return false
         // One call of this node may always run: others' calls must not shut it out for as long as the report stands.
         return view.running.isEmpty() || view.estimatedRunning(nowMillis, settings.staleLoadMillis) < record.maxRunningCalls
     }
--- a/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
@@ -175,7 +175,7 @@
     val reserved = entry.waitsFor?.takeIf { takesWork(it) && view(it).isolatedBy == id }
     val server = reserved ?: reserve(entry) ?: return
     val view = view(server)
-    if (view.running.isNotEmpty() || entry.call.account in core.accounts.blocked || !mayRunOn(entry, server)) return
+    if (view.running.isNotEmpty() || view.isDoubtful || entry.call.account in core.accounts.blocked || !mayRunOn(entry, server)) return
     val others = view.estimatedRunning(nowMillis, settings.staleLoadMillis)
     if (others > 0 && nowMillis - entry.sinceMillis < ISOLATION_PATIENCE_MILLIS) {
         poll(server, ISOLATION_POLL_MILLIS)
--- a/core/src/main/kotlin/lavendertrail/dispatch/ServerFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ServerFlow.kt
@@ -16,6 +16,7 @@
 
 // A server that the host list no longer names is given up after this time without any sign of life.
 private const val MISSING_MILLIS = 1_000L
+private const val VERDICT_POLL_MILLIS = 100L
 
 internal fun DispatchWork.applyLoad(
     server: ServerId,
@@ -32,10 +33,39 @@
     changeView(server) { it.copy(reachable = true) }
     applyLoad(server, event.load)
     // The server is alive: the calls whose connection was lost there go on without blame.
-    callsIn(Phase.VERDICT, server).forEach { verdict(it, server, crashed = false) }
+    explained(server)
     pumpServer(server)
 }
 
+/** Notes a lost connection: until its verdict the request counts as running there, and the server is asked. */
+internal fun DispatchWork.noteLoss(
+    entry: CallEntry,
+    server: ServerId,
+) {
+    val loss = Loss(entry.call.fingerprint, entry.call.call, nowMillis)
+    changeView(
+        server,
+    ) { view -> view.copy(losses = view.losses.filter { it.open || nowMillis - it.atMillis <= BLAME_WINDOW_MILLIS } + loss) }
+    core = core.copy(poison = core.poison.started(loss.fingerprint, server))
+    setTimer(nowMillis + settings.crashVerdictMillis, Timer.Verdict(server))
+    poll(server, VERDICT_POLL_MILLIS)
+}
+
+/** Ends the open losses of a server and returns the calls that wait for the verdict. */
+private fun DispatchWork.closeLosses(server: ServerId): List<CallId> {
+    val open = view(server).losses.filter { it.open }
+    if (open.isEmpty()) return emptyList()
+    changeView(server) { view -> view.copy(losses = view.losses.map { it.copy(open = false) }) }
+    for (loss in open) {
+        core = core.copy(poison = core.poison.ended(loss.fingerprint, server))
+        wakeFingerprint(loss.fingerprint)
+    }
+    return open.map { it.call }.distinct()
+}
+
+/** The server is alive, so that its lost connections were no crash. */
+private fun DispatchWork.explained(server: ServerId): Unit = closeLosses(server).forEach { verdict(it, server, crashed = false) }
+
 internal fun DispatchWork.reachability(event: ServerReachability) {
     val server = event.server
     val view = view(server)
@@ -52,7 +82,7 @@
                 backoffUntilMillis = if (restarted) 0 else it.backoffUntilMillis,
             )
         }
-        if (!restarted) callsIn(Phase.VERDICT, server).forEach { verdict(it, server, crashed = false) }
+        if (!restarted) explained(server)
         pumpServer(server)
     }
 }
@@ -62,8 +92,8 @@
     val view = view(server)
     val running = view.running.keys.mapNotNull { core.calls[it] }
     val lostBefore = view.losses.filter { nowMillis - it.atMillis <= BLAME_WINDOW_MILLIS }.map { it.fingerprint }
-    val waiting = callsIn(Phase.VERDICT, server)
     blame(server, (running.map { it.call.fingerprint } + lostBefore).distinct())
+    val waiting = closeLosses(server)
     core = core.copy(cache = core.cache.emptied(server))
     changeView(server) {
         it.copy(
@@ -102,17 +132,6 @@
     retryOrRefuse(ended, AttemptFailure.CONNECTION_LOST, "server ${attempt.server} was lost while the call ran")
 }
 
-/** Calls in a phase that wait for [server]; only phases that few calls are in at a time are searched. */
-private fun DispatchWork.callsIn(
-    phase: Phase,
-    server: ServerId,
-): List<CallId> =
-    view(server)
-        .losses
-        .map { it.call }
-        .distinct()
-        .filter { core.calls[it]?.let { entry -> entry.phase == phase && entry.waitsFor == server } == true }
-
 internal fun DispatchWork.verdict(
     id: CallId,
     server: ServerId,
@@ -125,8 +144,8 @@
 
 /** No word from the server in time counts as a crash: a wrong suspicion costs less than one more crashed server. */
 internal fun DispatchWork.verdictOverdue(timer: Timer.Verdict) {
-    val entry = core.calls[timer.call] ?: return
-    if (entry.phase == Phase.VERDICT && entry.waitsFor == timer.server) lost(timer.server)
+    val isOpen = view(timer.server).losses.any { it.open && nowMillis - it.atMillis >= settings.crashVerdictMillis }
+    if (isOpen) lost(timer.server)
 }
 
 internal fun DispatchWork.clearSuspicion(entry: CallEntry) {
--- a/core/src/main/kotlin/lavendertrail/dispatch/ServerView.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ServerView.kt
@@ -30,6 +30,9 @@
     val polledMillis: Long = Long.MIN_VALUE / 2,
     val callMillis: Double = 0.0,
 ) {
+    /** A connection was lost there, and nobody knows yet whether the server crashed: what is sent now could be blamed. */
+    val isDoubtful: Boolean get() = losses.any { it.open }
+
     /** Running calls of all nodes: the last report corrected by what this node started and ended since. */
     fun estimatedRunning(
         nowMillis: Long,
@@ -55,9 +58,13 @@
     }
 }
 
-/** An attempt whose connection was lost at a server, kept until it is clear whether the server crashed. */
+/**
+ * An attempt whose connection was lost at a server. While it is [open] it is not clear whether the server crashed, and
+ * the request counts as running there; afterwards it is kept for a while, since a crash may become known late.
+ */
 internal data class Loss(
     val fingerprint: String,
     val call: CallId,
     val atMillis: Long,
+    val open: Boolean = true,
 )
--- a/core/src/main/kotlin/lavendertrail/dispatch/Timers.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Timers.kt
@@ -26,7 +26,6 @@
     ) : Timer
 
     data class Verdict(
-        val call: CallId,
         val server: ServerId,
     ) : Timer
 
--- /dev/null
+++ b/core/src/test/kotlin/lavendertrail/dispatch/LearningTest.kt
@@ -0,0 +1,222 @@
+package lavendertrail.dispatch
+
+import kotlinx.collections.immutable.persistentMapOf
+import lavendertrail.config.AccountRecord
+import lavendertrail.membership.AccountShare
+import lavendertrail.membership.OwnedPartition
+import lavendertrail.membership.OwnershipPhase
+import lavendertrail.membership.ProbeMessage
+import lavendertrail.model.AccountId
+import lavendertrail.model.ModelId
+import lavendertrail.model.NodeId
+import lavendertrail.model.OwnerId
+import lavendertrail.model.PartitionId
+import lavendertrail.model.Usage
+import lavendertrail.reducer.Effect
+import lavendertrail.reducer.ListPins
+import lavendertrail.reducer.ModelOrderEnded
+import lavendertrail.reducer.OrderModel
+import lavendertrail.reducer.PinCache
+import lavendertrail.reducer.PinsReported
+import lavendertrail.reducer.ProbeReceived
+import lavendertrail.reducer.ProgramGone
+import lavendertrail.reducer.ProgramPaused
+import lavendertrail.reducer.ProgramResumed
+import lavendertrail.reducer.ReleaseCache
+import lavendertrail.reducer.ServerLoadReported
+import lavendertrail.reducer.TransferCache
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class LearningTest {
+    private fun sample(
+        firstTokenMillis: Long,
+        nowMillis: Long,
+        running: Int = 32,
+    ) = LatencySample(firstTokenMillis, expectedMillis = 100.0, running, maxRunningCalls = 32, nowMillis)
+
+    /** Guards against a limit that grows without use, collapses by one burst, or leaves its bounds. */
+    @Test
+    fun `the limit follows the time to first token`() {
+        var state = LimitState()
+        repeat(50) { state = latencyLimit.sampled(state, sample(100, it * 10L)) }
+        assertEquals(32, latencyLimit.callsOf(state, 32))
+        repeat(20) { state = latencyLimit.sampled(state, sample(900, 10_000 + it * 10L)) }
+        assertEquals(27, latencyLimit.callsOf(state, 32))
+        repeat(60) { state = latencyLimit.sampled(state, sample(900, 20_000 + it * 1_000L)) }
+        assertEquals(1, latencyLimit.callsOf(state, 32))
+        val unused = latencyLimit.sampled(state.copy(calls = 10.0), sample(100, 100_000, running = 2))
+        assertEquals(10.0, unused.calls)
+        assertEquals(7, latencyLimit.callsOf(latencyLimit.overloaded(unused.copy(calls = 10.0), 32, 200_000), 32))
+    }
+
+    /** Guards against a server whose learned limit is ignored. */
+    @Test
+    fun `late first tokens reduce what runs at once`() {
+        val fixture = DispatchFixture(listOf(engine(1, maxRunningCalls = 8)))
+        repeat(200) { fixture.request(modelCall(program("p$it"))) }
+        repeat(12) {
+            fixture.nowMillis += 3_000
+            fixture.running.keys
+                .toList()
+                .forEach { fixture.firstToken(it) }
+            fixture.running.keys
+                .toList()
+                .forEach { fixture.complete(it) }
+        }
+        assertEquals(1, fixture.running.size)
+    }
+
+    /** Guards against an account that gets its limit once per node. */
+    @Test
+    fun `an account's limit is divided between nodes`() {
+        fun running(vararg peers: AccountShare): Int {
+            val accounts = listOf(AccountRecord(AccountId("acct"), OwnerId("barakah"), maxRunningCalls = 6))
+            val fixture = DispatchFixture((1..4).map { engine(it, maxRunningCalls = 16) }, accounts = accounts)
+            peers.forEachIndexed { index, share ->
+                fixture.send(ProbeReceived(ProbeMessage(NodeId("peer-$index"), 1, false, 0, emptyList(), accountShares = listOf(share))))
+            }
+            repeat(12) { fixture.request(modelCall(program("p$it"))) }
+            val other = fixture.request(modelCall(program("other"), account = "other"))
+            assertTrue(other in fixture.running, "another account must not wait")
+            fixture.tick(600)
+            val before = fixture.running.size - 1
+            fixture.tick(DispatchSettings().accountShareExpiryMillis + 1_000)
+            assertEquals(6, fixture.running.size - 1, "an expired share must not count")
+            return before
+        }
+        assertEquals(6, running())
+        assertEquals(3, running(AccountShare("acct", runningCalls = 3, waitingCalls = 9)))
+        assertEquals(2, running(AccountShare("acct", runningCalls = 4, waitingCalls = 0)))
+        assertEquals(1, running(AccountShare("acct", runningCalls = 6, waitingCalls = 50), AccountShare("acct", 6, 50)))
+    }
+
+    private class PauseCase(
+        val name: String,
+        val pausesMillis: List<Long>,
+        val fillPercent: Int,
+        val expected: String,
+    )
+
+    private fun Effect.describe(): String? =
+        when (this) {
+            is PinCache -> "keep $pinMillis"
+            is ReleaseCache -> "drop"
+            is TransferCache -> "export"
+            else -> null
+        }
+
+    /** Guards against caches that are lost over a short pause, and against ones that block a full server over a long one. */
+    @Test
+    fun `a pause is bridged by what is known of the tool`() {
+        val cases =
+            listOf(
+                PauseCase("unknown tool", emptyList(), 10, "keep 30000"),
+                PauseCase("short pauses", List(20) { 900L }, 10, "keep 1024"),
+                PauseCase("long pauses", List(20) { 600_000L }, 10, "keep 120000"),
+                PauseCase("short pauses under pressure", List(20) { 900L }, 95, "keep 1024"),
+                PauseCase("long pauses under pressure", List(20) { 600_000L }, 95, "export"),
+                PauseCase("long pauses, all servers full", List(20) { 600_000L }, 96, "drop"),
+            )
+        val actual =
+            cases.map { case ->
+                val fixture = DispatchFixture(listOf(engine(1), engine(2)))
+                case.pausesMillis.forEach { fixture.send(ProgramResumed(program("x"), "permits", it)) }
+                val call = fixture.request(modelCall(program("p"), promptTokens = 8_000))
+                val server = checkNotNull(fixture.serverOf(call))
+                fixture.complete(call, Usage(promptTokens = 8_000))
+                val fill = load(usedTokens = case.fillPercent * 4_000L)
+                fixture.send(ServerLoadReported(server, fill))
+                val other = if (server == server(1)) server(2) else server(1)
+                fixture.send(ServerLoadReported(other, if (case.fillPercent == 96) fill else load()))
+                fixture.send(ProgramPaused(program("p"), "permits")).firstNotNullOfOrNull { it.describe() }
+            }
+        assertEquals(cases.map { it.expected }, actual)
+    }
+
+    private fun DispatchFixture.own(vararg partitions: Int) {
+        val owned = partitions.associate { PartitionId(it) to OwnedPartition(OwnershipPhase.ACTIVE, epoch = 9, sinceMillis = 0) }
+        state = state.copy(membership = state.membership.copy(owned = persistentMapOf<PartitionId, OwnedPartition>().putAll(owned)))
+    }
+
+    /** Guards against engine memory that stays with programs that are gone, and against pins of others that are released. */
+    @Test
+    fun `pins are released at the end and by the sweep`() {
+        val fixture = DispatchFixture()
+        fixture.own(0)
+        val call = fixture.request(modelCall(program("p")))
+        val server = checkNotNull(fixture.serverOf(call))
+        fixture.complete(call)
+        val live = fixture.request(modelCall(program("live")))
+        assertEquals(listOf<Effect>(ReleaseCache(server, program("p"))), fixture.send(ProgramGone(program("p"), moved = false)))
+
+        val pins = setOf(program("p"), live.program, lavendertrail.model.ProgramId("batinah-001-other"))
+        fixture.tick(DispatchSettings().pinSweepMillis)
+        assertEquals(
+            (1..4).map { server(it) }.toSet(),
+            fixture.effects
+                .filterIsInstance<ListPins>()
+                .map { it.server }
+                .toSet(),
+        )
+        assertEquals(emptyList(), fixture.send(PinsReported(server, pins)))
+        assertEquals(listOf<Effect>(ReleaseCache(server, program("p"))), fixture.send(PinsReported(server, pins)))
+        assertNull(fixture.send(ProgramGone(live.program, moved = true)).filterIsInstance<ReleaseCache>().firstOrNull())
+    }
+
+    /** Guards against models that wait for servers while others idle, against flapping, and against a second decider. */
+    @Test
+    fun `a model gets a server when calls wait for long and gives it back`() {
+        val other = ModelId("permit-desk")
+        val servers = (1..3).map { engine(it, 1, listOf(MODEL, other)) } + (4..6).map { engine(it, 1, listOf(other, MODEL)) }
+
+        fun DispatchFixture.report(
+            number: Int,
+            model: ModelId,
+        ) = send(ServerLoadReported(server(number), load(models = listOf(model))))
+
+        fun fixture(): DispatchFixture =
+            DispatchFixture(servers).apply {
+                (1..3).forEach { report(it, MODEL) }
+                (4..6).forEach { report(it, other) }
+                repeat(30) { request(modelCall(program("p$it"))) }
+            }
+
+        fun DispatchFixture.pass(millis: Long) {
+            repeat((millis / 500).toInt()) {
+                (4..6).forEach { report(it, other) }
+                tick(500)
+            }
+        }
+        val bystander = fixture()
+        bystander.pass(30_000)
+        assertNull(bystander.last<OrderModel>())
+
+        val controller = fixture()
+        controller.own(0)
+        controller.pass(9_000)
+        assertNull(controller.last<OrderModel>())
+        controller.pass(3_000)
+        val order = checkNotNull(controller.last<OrderModel>())
+        assertEquals(MODEL to 9L, order.model to order.fencingToken)
+        controller.pass(5_000)
+        assertEquals(1, controller.effects.filterIsInstance<OrderModel>().size)
+
+        controller.send(ModelOrderEnded(order.server, order.model, done = true, "loaded"))
+        while (controller.running.isNotEmpty()) controller.complete(controller.running.keys.first())
+        val lent =
+            order.server.value
+                .substringAfter('-')
+                .toInt()
+        repeat(160) {
+            (1..3).forEach { controller.report(it, MODEL) }
+            (4..6).forEach { controller.report(it, if (it == lent) MODEL else other) }
+            controller.tick(500)
+        }
+        val orders = controller.effects.filterIsInstance<OrderModel>()
+        assertEquals(listOf(MODEL, other), orders.take(2).map { it.model })
+        assertEquals(order.server, orders[1].server)
+    }
+}
