--- a/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/LocalPeerService.kt
@@ -6,6 +6,7 @@
 import lavendertrail.journal.JournalRead
 import lavendertrail.journal.JournalReclaim
 import lavendertrail.journal.JournalSeal
+import lavendertrail.journal.JournalStore
 import lavendertrail.membership.ProbeMessage
 import lavendertrail.membership.probeMessage
 import lavendertrail.model.NodeId
@@ -19,27 +20,18 @@
 import lavendertrail.reducer.NodeState
 import lavendertrail.reducer.ProbeReceived
 
-/** This node's copies of journals; a node without a data folder has none. */
-internal interface JournalCopies {
-    fun append(request: JournalAppend): JournalAnswer
-
-    fun seal(request: JournalSeal): JournalAnswer
-
-    fun read(request: JournalRead): JournalPage
-
-    fun reclaim(request: JournalReclaim): JournalAnswer
-}
-
 /** What other nodes ask of this one. */
 internal class LocalPeerService(
     private val state: () -> NodeState,
     private val owner: LocalOwner,
-    private val journal: JournalCopies?,
+    private val journal: JournalStore?,
     private val emit: (Event) -> Unit,
     private val dumpState: () -> String,
+    private val gate: PauseGate = PauseGate(),
     private val clock: () -> Long = System::currentTimeMillis,
 ) : PeerService {
     override fun probe(message: ProbeMessage): ProbeMessage {
+        gate.pass()
         emit(ProbeReceived(message))
         return state().probeMessage(clock())
     }
@@ -48,18 +40,19 @@
         request: SubmitRequest,
         onReply: (SubmitReply) -> Unit,
     ) {
+        gate.pass()
         val deadlineMillis = (request as? SubmitRequest.Call)?.request?.deadlineMillis ?: (clock() + REQUEST_MILLIS)
         owner.submit(request, deadlineMillis + GRACE_MILLIS - clock(), onReply)
     }
 
-    override fun appendJournal(request: JournalAppend): JournalAnswer = journal?.append(request) ?: JournalAnswer.Unknown
+    override fun appendJournal(request: JournalAppend): JournalAnswer = passed()?.append(request) ?: JournalAnswer.Unknown
 
-    override fun sealJournal(request: JournalSeal): JournalAnswer = journal?.seal(request) ?: JournalAnswer.Unknown
+    override fun sealJournal(request: JournalSeal): JournalAnswer = passed()?.seal(request) ?: JournalAnswer.Unknown
 
     override fun readJournal(request: JournalRead): JournalPage =
-        journal?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
+        passed()?.read(request) ?: JournalPage(emptyList(), 0, "this node has no data folder")
 
-    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = journal?.reclaim(request) ?: JournalAnswer.Unknown
+    override fun reclaimJournal(request: JournalReclaim): JournalAnswer = passed()?.reclaim(request) ?: JournalAnswer.Unknown
 
     override fun fetchConfig(afterRevision: Long): ConfigPage {
         val config = state().config
@@ -73,6 +66,11 @@
 
     override fun dump(): String = dumpState()
 
+    private fun passed(): JournalStore? {
+        gate.pass()
+        return journal
+    }
+
     private companion object {
         const val REQUEST_MILLIS = 30_000L
         const val GRACE_MILLIS = 2_000L
--- a/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
@@ -53,11 +53,12 @@
     limits: HttpServerLimits = HttpServerLimits(),
     handler: HttpHandler,
 ): HttpServer {
+    routeServerLogs()
     val connections = ConcurrentHashMap.newKeySet<ServerConnection>()
     val undertow =
         Undertow
             .builder()
-            .addHttpListener(binding.port, binding.ip)
+            .addListener(binding)
             .setWorkerThreads(limits.workerThreads)
             .setIoThreads(limits.ioThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes)
@@ -82,6 +83,20 @@
     }
 }
 
+private fun Undertow.Builder.addListener(binding: HttpBinding): Undertow.Builder =
+    if (binding.tls == null) {
+        addHttpListener(binding.port, binding.ip)
+    } else {
+        addHttpsListener(binding.port, binding.ip, binding.tls)
+    }
+
+/** Sends the server library's own log lines to the logger of the process instead of `java.util.logging`. */
+private fun routeServerLogs() {
+    if (System.getProperty(LOG_PROVIDER) == null) System.setProperty(LOG_PROVIDER, "slf4j")
+}
+
+private const val LOG_PROVIDER = "org.jboss.logging.provider"
+
 private fun MutableSet<ServerConnection>.track(connection: ServerConnection) {
     if (add(connection)) connection.addCloseListener { remove(it) }
 }
