Follow what engines report: own messages, lagging load, loaded models

Cached lengths now come from the call's own chain, running calls are this node's own plus the others' by the report, servers without the model get no calls for it, and pins take at most half of a cache.

--- a/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
@@ -68,7 +68,6 @@
     changeView(attempt.server) { view ->
         view.copy(
             running = view.running.remove(id),
-            endedSinceLoad = view.endedSinceLoad + 1,
             pendingPrefillTokens = (view.pendingPrefillTokens - attempt.pendingTokens).coerceAtLeast(0),
             isolatedBy = view.isolatedBy.takeIf { it != id },
         )
@@ -124,7 +123,7 @@
     learn(entry, attempt, event.usage)
     clearSuspicion(entry)
     withdraw(entry)
-    event.load?.let { applyLoad(attempt.server, it) }
+    event.load?.let { applyLoad(attempt.server, it, ownCalls = view(attempt.server).running.size + 1) }
     if (entry.isModelCall) {
         val pinnedMillis = nowMillis + TURN_TRUST_MILLIS
         val cache = core.cache.recorded(attempt.server, call, event.usage.generatedTokens.toInt(), nowMillis, pinnedMillis)
--- a/core/src/main/kotlin/lavendertrail/dispatch/CacheKnowledge.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/CacheKnowledge.kt
@@ -29,6 +29,7 @@
  * What this node believes to be cached where: per program from answers, and per prefix from answers and cache events.
  *
  * Events come late and with gaps, so an entry is a belief that fades: [expectedTokens] weighs its length with its age.
+ * Engines report the tokens of single messages or of whole prefixes; the length that counts is that of the call's chain.
  * A call's own program is looked up directly. Of its other prefixes, the first [SHARED_PREFIXES] (a system prompt that
  * many programs share) and the last [RECENT_PREFIXES] are looked up, so that the cost doesn't grow with the history.
  */
@@ -54,14 +55,18 @@
         val best = HashMap<ServerId, Int>()
         val longest = (call.promptTokens - 1).coerceAtLeast(0)
 
-        fun add(entries: Map<ServerId, CachedPrefix>) {
+        fun add(
+            entries: Map<ServerId, CachedPrefix>,
+            prefixTokens: Int?,
+        ) {
             for ((server, prefix) in entries) {
-                val tokens = minOf(longest, weighted(server, prefix, nowMillis, halfLifeMillis))
+                val whole = prefixTokens ?: prefix.tokens
+                val tokens = minOf(longest, (whole * trustIn(server, prefix, nowMillis, halfLifeMillis)).toInt())
                 if (tokens > (best[server] ?: 0)) best[server] = tokens
             }
         }
-        programs[call.call.program]?.let(::add)
-        for (prefix in lookedUp(call.promptChain)) prefixes[prefix.chainHash]?.let(::add)
+        programs[call.call.program]?.let { add(it, prefixTokens = null) }
+        for (prefix in lookedUp(call.promptChain)) prefixes[prefix.chainHash]?.let { add(it, prefix.tokens) }
         return best
     }
 
@@ -165,20 +170,21 @@
         )
     }
 
-    private fun weighted(
+    /** How much of the prefix may be expected to be there, between 0 and 1. */
+    private fun trustIn(
         server: ServerId,
         prefix: CachedPrefix,
         nowMillis: Long,
         halfLifeMillis: Long,
-    ): Int {
+    ): Double {
         val cache = servers[server] ?: ServerCache()
-        if (prefix.epoch != cache.epoch) return 0
+        if (prefix.epoch != cache.epoch) return 0.0
         val evictedMillis = evictions[prefix.chainHash]?.get(server)
-        if (evictedMillis != null && evictedMillis >= prefix.atMillis) return 0
-        if (prefix.pinnedUntilMillis > nowMillis) return prefix.tokens
+        if (evictedMillis != null && evictedMillis >= prefix.atMillis) return 0.0
+        if (prefix.pinnedUntilMillis > nowMillis) return 1.0
         val trust = if (prefix.atMillis <= cache.gapMillis) 0.5 else 1.0
         val age = (nowMillis - prefix.atMillis).coerceAtLeast(0)
-        return (prefix.tokens * trust * 0.5.pow(age.toDouble() / halfLifeMillis)).toInt()
+        return trust * 0.5.pow(age.toDouble() / halfLifeMillis)
     }
 
     private fun withProgram(
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchSettings.kt
@@ -37,7 +37,11 @@
     public val cacheHalfLifeMillis: Long = 180_000,
     /** Fill of a server's cache above which pauses are no longer bridged by default. */
     public val cachePressurePercent: Int = 85,
+    /** Share of a server's cache that this node's pins may take. */
+    public val maxPinnedPercent: Int = 50,
     public val domainDistanceMillis: Long = 1,
+    /** Engines load a model that is asked for; without it, servers that don't report the model get no calls for it. */
+    public val enginesLoadOnDemand: Boolean = false,
     public val weightBytesPerSecond: Long = 2_000_000_000,
     /** Waiting calls per loaded server above which a model gets one more server. */
     public val scaleUpWaitingCalls: Int = 4,
--- a/core/src/main/kotlin/lavendertrail/dispatch/PauseFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/PauseFlow.kt
@@ -1,6 +1,7 @@
 package lavendertrail.dispatch
 
 import lavendertrail.config.ModelRecord
+import lavendertrail.config.ServerRecord
 import lavendertrail.model.CallId
 import lavendertrail.model.ModelId
 import lavendertrail.model.ProgramId
@@ -32,6 +33,7 @@
             recomputeMillis = model.prefillMillis(prefix.tokens),
             transferMillis = prefix.tokens * 1_000.0 / model.transferTokensPerSecond,
             fillPercent = view(from).cacheFillPercent(record),
+            mayPin = mayPin(from, record, prefix.tokens),
             exportTo = exportTarget(from, prefix.tokens),
             settings = settings,
         )
@@ -57,9 +59,20 @@
     pinMillis: Long,
 ) {
     effects += PinCache(server, program, pinMillis)
+    val tokens = core.cache.serversOf(program)[server]?.tokens ?: 0
+    changeView(server) { it.copy(pins = it.pins.expired(nowMillis).added(program, nowMillis + pinMillis, tokens)) }
     core = core.copy(cache = core.cache.pinned(server, program, nowMillis + pinMillis))
 }
 
+/** Pinned tokens can't be evicted, and an engine admits a call only when it fits beside them. */
+private fun DispatchWork.mayPin(
+    server: ServerId,
+    record: ServerRecord,
+    tokens: Int,
+): Boolean =
+    record.cacheCapacityTokens <= 0 ||
+        (view(server).pins.expired(nowMillis).tokens + tokens) * 100 <= record.cacheCapacityTokens * settings.maxPinnedPercent
+
 /** The emptiest other candidate of the server's first model, if the tokens leave it clearly under the pressure mark. */
 private fun DispatchWork.exportTarget(
     from: ServerId,
@@ -86,7 +99,10 @@
         core.cache
             .serversOf(program)
             .keys
-            .forEach { effects += ReleaseCache(it, program) }
+            .forEach { server ->
+                effects += ReleaseCache(server, program)
+                changeView(server) { it.copy(pins = it.pins.removed(program)) }
+            }
     }
     core =
         core.copy(
--- a/core/src/main/kotlin/lavendertrail/dispatch/PauseLearning.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/PauseLearning.kt
@@ -75,6 +75,8 @@
     val transferMillis: Double,
     val fillPercent: Int,
     val exportTo: ServerId?,
+    /** Pins of this node leave room for one more there. */
+    val mayPin: Boolean,
     val settings: DispatchSettings,
 )
 
@@ -90,8 +92,14 @@
 internal val learnedPause: PausePolicy = { query ->
     val pinMillis = minOf(query.longMillis, query.settings.maxPinMillis)
     when {
-        query.fillPercent < query.settings.cachePressurePercent -> PauseDecision.Keep(pinMillis)
-        query.medianMillis <= query.recomputeMillis * PRESSURE_PATIENCE -> PauseDecision.Keep(minOf(pinMillis, 2 * query.medianMillis))
+        query.mayPin && query.fillPercent < query.settings.cachePressurePercent -> PauseDecision.Keep(pinMillis)
+        query.mayPin && query.medianMillis <= query.recomputeMillis * PRESSURE_PATIENCE ->
+            PauseDecision.Keep(
+                minOf(
+                    pinMillis,
+                    2 * query.medianMillis,
+                ),
+            )
         query.exportTo != null && query.transferMillis * 2 < query.recomputeMillis -> PauseDecision.Export(query.exportTo)
         else -> PauseDecision.Drop
     }
--- a/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
@@ -26,11 +26,20 @@
     val found = ArrayList<Candidate>(minOf(limit, records.size))
     for (record in records) {
         if (found.size >= limit) break
-        if (takesWork(record.server)) found += Candidate(record, view(record.server), limitOf(record), hasRoom(record))
+        if (takesWork(record.server) &&
+            canServe(target, record.server)
+        ) {
+            found += Candidate(record, view(record.server), limitOf(record), hasRoom(record))
+        }
     }
     return found
 }
 
+private fun DispatchWork.canServe(
+    target: Target,
+    server: ServerId,
+): Boolean = target !is Target.Model || settings.enginesLoadOnDemand || isLoaded(view(server), target.model)
+
 /** Starts queued calls of [target] for as long as there is room. Each round starts, holds, parks or refuses one call. */
 internal fun DispatchWork.pump(target: Target) {
     startIsolated(target)
@@ -225,7 +234,7 @@
     changeView(server) {
         it.copy(
             running = it.running.put(id, next.attempts),
-            startedSinceLoad = it.startedSinceLoad + 1,
+            pins = it.pins.removed(call.call.program),
             pendingPrefillTokens = it.pendingPrefillTokens + uncached,
         )
     }
--- a/core/src/main/kotlin/lavendertrail/dispatch/ServerFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ServerFlow.kt
@@ -21,10 +21,10 @@
 internal fun DispatchWork.applyLoad(
     server: ServerId,
     load: ServerLoad,
+    ownCalls: Int = view(server).running.size,
 ) {
-    changeView(server) {
-        it.copy(load = load, loadAtMillis = nowMillis, startedSinceLoad = 0, endedSinceLoad = 0, heardMillis = nowMillis)
-    }
+    val others = (load.runningCalls + load.waitingCalls - ownCalls).coerceAtLeast(0)
+    changeView(server) { it.copy(load = load, loadAtMillis = nowMillis, othersRunning = others, heardMillis = nowMillis) }
     if (load.leaving) evacuate(server)
 }
 
@@ -101,8 +101,7 @@
             unreachableSinceMillis = nowMillis,
             load = null,
             losses = emptyList(),
-            startedSinceLoad = 0,
-            endedSinceLoad = 0,
+            othersRunning = 0,
         )
     }
     evacuate(server)
--- a/core/src/main/kotlin/lavendertrail/dispatch/ServerView.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ServerView.kt
@@ -11,9 +11,8 @@
     val running: PersistentMap<CallId, Int> = persistentHashMapOf(),
     val load: ServerLoad? = null,
     val loadAtMillis: Long = 0,
-    /** Calls that this node started and ended there since the load report. */
-    val startedSinceLoad: Int = 0,
-    val endedSinceLoad: Int = 0,
+    /** Calls of other nodes there: what the report counted beyond this node's own. */
+    val othersRunning: Int = 0,
     /** Prompt tokens of own calls that have no first token yet. */
     val pendingPrefillTokens: Int = 0,
     val limit: LimitState = LimitState(),
@@ -29,17 +28,21 @@
     val heardMillis: Long = 0,
     val polledMillis: Long = Long.MIN_VALUE / 2,
     val callMillis: Double = 0.0,
+    val pins: PinLedger = PinLedger(),
 ) {
     /** A connection was lost there, and nobody knows yet whether the server crashed: what is sent now could be blamed. */
     val isDoubtful: Boolean get() = losses.any { it.open }
 
-    /** Running calls of all nodes: the last report corrected by what this node started and ended since. */
+    /**
+     * Running calls of all nodes: this node's own, which it knows exactly, and the others' by the last report. So a report
+     * that is late neither hides what this node sent since nor counts what has ended.
+     */
     fun estimatedRunning(
         nowMillis: Long,
         staleMillis: Long,
     ): Int {
-        val report = load?.takeIf { nowMillis - loadAtMillis <= staleMillis } ?: return running.size
-        return maxOf(running.size, report.runningCalls + startedSinceLoad - endedSinceLoad)
+        val isFresh = load != null && nowMillis - loadAtMillis <= staleMillis
+        return running.size + if (isFresh) othersRunning else 0
     }
 
     /** Prompt tokens that must be computed there before a new call's. */
--- a/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
+++ b/core/src/main/kotlin/lavendertrail/reducer/DispatchEvents.kt
@@ -192,7 +192,10 @@
     public val program: ProgramId,
 ) : Effect
 
-/** Copies the cache of a program's prompt from one server to another before a call is sent there. */
+/**
+ * Copies the cache of a program's prompt from one server to another. A [StartAttempt] of the program to [to] in the same
+ * step is sent when the copy has ended, however it ended.
+ */
 public data class TransferCache(
     public val program: ProgramId,
     public val from: ServerId,
