--- a/node/src/main/kotlin/lavendertrail/journal/CopyFiller.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/CopyFiller.kt
@@ -26,11 +26,12 @@
                 is JournalAnswer.Failed -> if (answer.damaged) false else fail(answer.message)
                 else -> fail("unexpected answer $answer to a seal")
             }
-        val held = if (needsReset) null else service.readJournal(JournalRead(request.partition, content.firstIndex, maxBytes = 1))
-        val common = held?.let { commonEnd(it.firstIndex, it.nextIndex) }
+        val held = service.readJournal(JournalRead(request.partition, content.firstIndex, maxBytes = 1))
+        if (!needsReset && held.error == UNKNOWN_COPY) fail("copy is gone")
+        val common = if (needsReset) null else commonEnd(held.firstIndex, held.nextIndex)
         when {
-            common == null -> reset()
-            common < content.nextIndex || held.nextIndex > common || answer !is JournalAnswer.Accepted -> send(common, create = false)
+            common == null -> send(content.firstIndex, createIn = held.storeId ?: fail("the node names no store"))
+            common < content.nextIndex || held.nextIndex > common || answer !is JournalAnswer.Accepted -> send(common)
         }
     }
 
@@ -63,12 +64,10 @@
         return page.entries.firstOrNull()?.isSameAs(content.entries[(index - content.firstIndex).toInt()]) == true
     }
 
-    private fun reset() = send(content.firstIndex, create = true)
-
-    /** Cuts the copy at [from] and sends all entries from there on. */
+    /** Cuts the copy at [from], or starts a new one in the store [createIn], and sends all entries from there on. */
     private fun send(
         from: Long,
-        create: Boolean,
+        createIn: String? = null,
     ) {
         var next = from
         do {
@@ -79,8 +78,9 @@
                     epoch = request.epoch,
                     entries = batch,
                     truncateTo = next,
-                    create = create && next == from,
+                    create = createIn != null && next == from,
                     attempt = request.attempt,
+                    storeId = createIn,
                 )
             val answer = service.appendJournal(append).alsoUnlessFenced(node)
             next += batch.size
--- a/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
@@ -9,11 +9,13 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption
+import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
 private const val PARTITION_RADIX = 16
+private const val STORE_ID_LENGTH = 36
 
 /**
  * Keeps journal copies in files under [folder], which is locked until the store is closed: one directory per
@@ -50,6 +52,7 @@
     private val slots = ConcurrentHashMap<PartitionId, Slot>()
     private val openFiles = OpenFiles(files, settings.maxOpenFiles)
     private val lock = lockFolder(folder)
+    override val id = storeIdIn(folder, files)
     private val session = SessionFile(folder.resolve("session"), files)
     private val flusher = Executors.newSingleThreadScheduledExecutor { Thread(it, "journal-flush").apply { isDaemon = true } }
 
@@ -65,13 +68,20 @@
     val openFileCount: Int get() = openFiles.openCount
 
     override fun append(request: JournalAppend): JournalAnswer =
-        guarded { (if (request.create) copyOrNew(request) else copyOf(request.partition))?.append(request) ?: JournalAnswer.Unknown }
+        guarded {
+            val copy = copyOf(request.partition)
+            when {
+                copy != null -> copy.append(request)
+                request.create -> request.refusedBy(id) ?: copyOrNew(request).append(request)
+                else -> JournalAnswer.Unknown
+            }
+        }
 
     override fun seal(request: JournalSeal): JournalAnswer = guarded { copyOf(request.partition)?.seal(request) ?: JournalAnswer.Unknown }
 
     override fun read(request: JournalRead): JournalPage =
         try {
-            copyOf(request.partition)?.read(request) ?: unknownPage()
+            copyOf(request.partition)?.read(request)?.copy(storeId = id) ?: unknownPage(id)
         } catch (e: IOException) {
             JournalPage(emptyList(), nextIndex = 0, error = "read failed: ${e.message}")
         }
@@ -182,6 +192,25 @@
     return channel
 }
 
+/** Written before the first copy; a file that is not whole belongs to a store without copies. */
+private fun storeIdIn(
+    folder: Path,
+    files: JournalFiles,
+): String {
+    val path = folder.resolve("store-id")
+    files.open(path).use { file ->
+        val size = file.size().toInt()
+        val known = if (size == 0) null else String(file.readFully(0, size)).takeIf { it.length == STORE_ID_LENGTH }
+        if (known != null) return known
+        val id = UUID.randomUUID().toString()
+        file.truncate(0)
+        file.writeFully(ByteBuffer.wrap(id.toByteArray()), 0)
+        file.force()
+        files.syncDirectory(folder)
+        return id
+    }
+}
+
 /** Exists while a store is open, with the boot id of the host, so that a loss of power can be told from a mere restart. */
 private class SessionFile(
     private val path: Path,
--- a/node/src/main/kotlin/lavendertrail/journal/JournalCopy.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalCopy.kt
@@ -115,16 +115,23 @@
     private fun rebuild(request: JournalAppend): JournalAnswer {
         raiseSeal(request.epoch, request.attempt)
         if (storage.state.complete) storage.save(storage.state.copy(complete = false))
-        request.truncateTo?.let { if (request.create) storage.restart(it) else cut(it) }
+        val to = request.truncateTo
+        if (to != null && !cut(to, restart = request.create)) return JournalAnswer.Gap(storage.nextIndex)
         storage.damage?.let { return damaged(it) }
         return write(request.entries) ?: answer()
     }
 
-    private fun cut(to: Long) {
-        when {
-            to !in storage.firstIndex..storage.nextIndex -> storage.restart(to)
-            to < storage.nextIndex || storage.damage != null -> storage.truncate(to)
+    private fun cut(
+        to: Long,
+        restart: Boolean,
+    ): Boolean {
+        if (!restart && to !in storage.firstIndex..storage.nextIndex) return false
+        if (restart) {
+            storage.restart(to)
+        } else if (to < storage.nextIndex || storage.damage != null) {
+            storage.truncate(to)
         }
+        return true
     }
 
     private fun write(entries: List<JournalEntry>): JournalAnswer? {
--- a/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalMessages.kt
@@ -17,10 +17,12 @@
  * Appends [entries] to the copy of [partition]. A plain append needs a copy that is sealed at exactly [epoch] and
  * [attempt]. Entries that the copy already holds are skipped, so an append can be repeated.
  *
- * With [truncateTo] the copy is first cut to that length, which a new owner does to a copy whose tail differs; a copy
- * that doesn't reach to that index, or that starts after it, is emptied and starts there. With [create] a copy that
- * doesn't exist is created, to start at [truncateTo] or 0; with both an existing copy is emptied and starts there. Such
- * a copy counts as incomplete until a [JournalSeal.completeAt] confirms it.
+ * With [truncateTo] the copy is first cut to that length, which a new owner does to a copy whose tail differs. A copy
+ * that doesn't reach to that index answers [JournalAnswer.Gap]: an earlier request of the same refill may have been
+ * repeated late. With [create] a copy starts anew and empty at [truncateTo]; without [truncateTo] only where there is
+ * none, at 0. Such a copy counts as incomplete until a [JournalSeal.completeAt] confirms it. With [storeId] a copy is
+ * created only in the store of that id, so that a delayed request doesn't create one on a replaced host that has
+ * forgotten its seals.
  */
 @Serializable
 public data class JournalAppend(
@@ -30,6 +32,7 @@
     public val truncateTo: Long? = null,
     public val create: Boolean = false,
     public val attempt: Long = 0,
+    public val storeId: String? = null,
 )
 
 /**
@@ -52,13 +55,14 @@
     public val maxBytes: Int,
 )
 
-/** Entries from the index asked for; the copy holds [firstIndex] until before [nextIndex]. */
+/** Entries from the index asked for; the copy holds [firstIndex] until before [nextIndex]. A new disk has a new [storeId]. */
 @Serializable
 public data class JournalPage(
     public val entries: List<JournalEntry>,
     public val nextIndex: Long,
     public val error: String? = null,
     public val firstIndex: Long = 0,
+    public val storeId: String? = null,
 )
 
 /** Lets the copy remove whole segments that hold only entries below [beforeIndex]. */
--- a/node/src/main/kotlin/lavendertrail/journal/JournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalStore.kt
@@ -20,6 +20,9 @@
  * power before a request that raises it is answered. See [JournalAppend] and [JournalSeal] for what is accepted.
  */
 public interface JournalStore : AutoCloseable {
+    /** Random name of this store, kept as long as its copies. */
+    public val id: String
+
     public fun append(request: JournalAppend): JournalAnswer
 
     public fun seal(request: JournalSeal): JournalAnswer
--- a/node/src/main/kotlin/lavendertrail/journal/MemoryJournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/MemoryJournalStore.kt
@@ -1,6 +1,7 @@
 package lavendertrail.journal
 
 import lavendertrail.model.PartitionId
+import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 
 /** A store whose copies are gone with the process: for tests and for a development cluster in one process. */
@@ -8,15 +9,17 @@
 
 private class MemoryJournalStore : JournalStore {
     private val copies = ConcurrentHashMap<PartitionId, JournalCopy>()
+    override val id = UUID.randomUUID().toString()
 
     override fun append(request: JournalAppend): JournalAnswer {
+        if (request.create && request.partition !in copies.keys) request.refusedBy(id)?.let { return it }
         val copy = if (request.create) copies.computeIfAbsent(request.partition) { newCopy(request) } else copies[request.partition]
         return copy?.append(request) ?: JournalAnswer.Unknown
     }
 
     override fun seal(request: JournalSeal) = copies[request.partition]?.seal(request) ?: JournalAnswer.Unknown
 
-    override fun read(request: JournalRead) = copies[request.partition]?.read(request) ?: unknownPage()
+    override fun read(request: JournalRead) = copies[request.partition]?.read(request)?.copy(storeId = id) ?: unknownPage(id)
 
     override fun reclaim(request: JournalReclaim) = copies[request.partition]?.reclaim(request) ?: JournalAnswer.Unknown
 
@@ -30,7 +33,17 @@
 /** The state of a copy that [this] append creates. */
 internal fun JournalAppend.initialState() = CopyState(epoch, attempt, complete = false, startIndex = truncateTo ?: 0)
 
-internal fun unknownPage() = JournalPage(emptyList(), nextIndex = 0, error = UNKNOWN_COPY)
+/** The refusal of a copy that was to be created in another store than [storeId]. */
+internal fun JournalAppend.refusedBy(storeId: String): JournalAnswer? =
+    if (this.storeId == null ||
+        this.storeId == storeId
+    ) {
+        null
+    } else {
+        JournalAnswer.Failed("copy was to be created in store ${this.storeId}, not in $storeId")
+    }
+
+internal fun unknownPage(storeId: String) = JournalPage(emptyList(), nextIndex = 0, error = UNKNOWN_COPY, storeId = storeId)
 
 internal const val UNKNOWN_COPY = "this node holds no copy of the partition"
 
