Send a call after the transfer of its cache has ended

An attempt was sent at the same time as the copy of its prefix to the server, so that the engine computed the prompt before the copy arrived. The attempt of a program is now sent when the transfer of the same step to that server has ended, also where the transfer failed.

--- a/node/src/main/kotlin/lavendertrail/node/Effects.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Effects.kt
@@ -45,7 +45,17 @@
     private val saveConfig: (SaveConfig) -> Unit,
     private val onShutdownReady: () -> Unit,
 ) {
-    fun execute(effects: List<Effect>): Unit = effects.forEach(::execute)
+    fun execute(effects: List<Effect>) {
+        val transfers = effects.filterIsInstance<TransferCache>()
+        val starts = effects.filterIsInstance<StartAttempt>()
+        for (effect in effects) {
+            when (effect) {
+                is StartAttempt -> start(effect, after = transfers.firstOrNull { effect.isAfter(it) })
+                is TransferCache -> if (starts.none { it.isAfter(effect) }) engines.transfer(effect) {}
+                else -> execute(effect)
+            }
+        }
+    }
 
     private fun execute(effect: Effect): Unit =
         when (effect) {
@@ -61,7 +71,7 @@
             is CancelAttempt -> attempts.cancel(effect)
             is FindStream -> engines.find(effect)
             is ReleaseCache -> engines.release(effect)
-            is TransferCache -> engines.transfer(effect)
+            is TransferCache -> engines.transfer(effect) {}
             is PinCache -> engines.pin(effect)
             is PollLoad -> engines.poll(effect)
             is ListPins -> engines.listPins(effect)
@@ -77,9 +87,14 @@
         }
 
     /** The waiting callers are attached before the first byte can arrive. */
-    private fun start(effect: StartAttempt) {
+    private fun start(
+        effect: StartAttempt,
+        after: TransferCache? = null,
+    ) {
         attempts.begin(effect)
         owner.attachWaiting(effect.call, effect.body)
-        attempts.start(effect)
+        if (after == null) attempts.start(effect) else engines.transfer(after) { attempts.start(effect) }
     }
+
+    private fun StartAttempt.isAfter(transfer: TransferCache): Boolean = transfer.program == call.program && transfer.to == server
 }
--- a/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
@@ -1,6 +1,8 @@
 package lavendertrail.node
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onFailure
 import lavendertrail.model.ServerId
@@ -44,13 +46,30 @@
             pins
         }
 
-    fun transfer(effect: TransferCache): Unit =
-        command("export cache", effect.from) { source ->
-            val exported = source.exportCache(effect.program)
-            exported.fold({ cache -> command("import cache", effect.to) { it.importCache(cache) } }, {})
-            exported
+    /**
+     * Copies a program's cache and then runs [next], also where the copy failed: the prompt is computed then. After a
+     * failure the load polls tell which of the two engines can be reached.
+     */
+    fun transfer(
+        effect: TransferCache,
+        next: () -> Unit,
+    ): Unit =
+        background.run("transfer of the cache of ${effect.program}") {
+            val ended = copyCache(effect)
+            next()
+            ended.onFailure { error ->
+                Logger.warn("engine: $error")
+                poll(effect.from)
+                poll(effect.to)
+            }
         }
 
+    private fun copyCache(effect: TransferCache): Result<Unit, StepError> {
+        val from = backends.engine(effect.from) ?: return Err(StepError("export cache", effect.from.value, "no record names the server"))
+        val to = backends.engine(effect.to) ?: return Err(StepError("import cache", effect.to.value, "no record names the server"))
+        return from.exportCache(effect.program).andThen { to.importCache(it) }
+    }
+
     /** An engine that can't be asked counts as one that doesn't have the stream; the call's deadline still holds. */
     fun find(effect: FindStream): Unit =
         background.run("search of the stream of ${effect.call}") {
