--- a/core/src/test/kotlin/lavendertrail/membership/MembershipReducerTest.kt
+++ b/core/src/test/kotlin/lavendertrail/membership/MembershipReducerTest.kt
@@ -169,4 +169,15 @@
         assertEquals(record.epoch + 1, moved.epoch)
         assertEquals(listOf(owner), harness.activeOwners(partition))
     }
+
+    /** Guards against partitions that stand still because only one failure domain with disks is left. */
+    @Test
+    fun `two hosts of one failure domain hold a journal where no other domain is left`() {
+        val harness = MembershipHarness(domains = listOf("sohar", "shinas"), nodeCount = 5).apply { run(3_000) }
+        harness.stopped += listOf(n2, NodeId("n4"))
+        harness.run(4_000)
+
+        harness.assertEachOwnedOnce()
+        harness.records.values.forEach { (record, _) -> assertEquals(2, record.journalNodes.distinct().size) }
+    }
 }
--- a/ctl/src/main/kotlin/lavendertrail/capacity/FleetModel.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/FleetModel.kt
@@ -226,7 +226,17 @@
         val number = names.indexOf(node)
         val domain = FailureDomain("domain-${number % failureDomains}")
         val address = "10.0.${number / 256}.${number % 256}:7400"
-        val record = NodeRecord(node, RegionId("region"), domain, address, address, 1_800_000_000_000, journal = number % JOURNAL_EVERY < 2)
+        val record =
+            NodeRecord(
+                node,
+                RegionId("region"),
+                domain,
+                address,
+                address,
+                1_800_000_000_000,
+                journal =
+                    number / failureDomains % JOURNAL_EVERY == 0,
+            )
         return NodeState(record, ReducerSettings(membership = settings))
     }
 
@@ -236,7 +246,7 @@
         const val STEP_MILLIS = 100L
         const val SEED_FACTOR = 31L
         const val WATCH_EVENT_BYTES = 180
-        const val JOURNAL_EVERY = 4
+        const val JOURNAL_EVERY = 3
         val cbor = Cbor { ignoreUnknownKeys = true }
     }
 }
