--- a/node/src/main/kotlin/lavendertrail/api/NodeApi.kt
+++ b/node/src/main/kotlin/lavendertrail/api/NodeApi.kt
@@ -7,6 +7,7 @@
 import lavendertrail.node.NodeMetrics
 import lavendertrail.node.PauseGate
 import lavendertrail.node.Peers
+import lavendertrail.reducer.Event
 import lavendertrail.reducer.NodeState
 import lavendertrail.settings.ApiSettings
 import lavendertrail.settings.NodeSettings
@@ -22,6 +23,7 @@
     service: MeteredKeyValueService,
     peers: Peers,
     journal: JournalStore?,
+    emit: (Event) -> Unit,
     dump: () -> String,
     notReady: () -> String?,
     gate: PauseGate,
@@ -34,6 +36,8 @@
         routes(
             ProgramRoutes(entry, ProgramIds(state), state).routes,
             calls.routes,
+            AdminRoutes(entry, state, journal, emit, dump).routes,
+            ConfigRoutes(entry, ConfigStore(service, state), state, peers, background).routes,
             healthRoutes(metrics.registry, notReady),
         )
     return ApiHandler(
--- a/node/src/main/kotlin/lavendertrail/node/Commands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Commands.kt
@@ -109,6 +109,7 @@
 
 /** Returns when SIGTERM was handled: the JVM's exit waits for the shutdown hook, which waits for the drain. */
 private fun runNode(settings: NodeSettings): Int {
+    configureLogs(settings.log)
     val node = Node(settings, httpPlatform(settings.platform))
     Runtime.getRuntime().addShutdownHook(Thread({ node.drain() }, "shutdown"))
     node.start()
--- a/node/src/main/kotlin/lavendertrail/node/Effects.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Effects.kt
@@ -41,7 +41,18 @@
     private val saveConfig: (SaveConfig) -> Unit,
     private val onShutdownReady: () -> Unit,
 ) {
-    fun execute(effects: List<Effect>): Unit = effects.forEach(::execute)
+    /** An attempt whose prompt's cache is copied to its server in the same step waits for the copy. */
+    fun execute(effects: List<Effect>) {
+        val transfers = effects.filterIsInstance<TransferCache>()
+        if (transfers.isEmpty()) return effects.forEach(::execute)
+        val waiting = effects.filterIsInstance<StartAttempt>().filter { start -> transfers.any { it.precedes(start) } }
+        transfers.forEach { transfer ->
+            engines.transfer(transfer) { waiting.filter { transfer.precedes(it) }.forEach(::start) }
+        }
+        effects.filter { it !in transfers && it !in waiting }.forEach(::execute)
+    }
+
+    private fun TransferCache.precedes(start: StartAttempt): Boolean = start.call.program == program && start.server == to
 
     private fun execute(effect: Effect): Unit =
         when (effect) {
@@ -58,7 +69,7 @@
             is CancelAttempt -> attempts.cancel(effect)
             is FindStream -> engines.find(effect)
             is ReleaseCache -> engines.release(effect)
-            is TransferCache -> engines.transfer(effect)
+            is TransferCache -> engines.transfer(effect) {}
             is PinCache -> engines.pin(effect)
             is PollLoad -> engines.poll(effect)
             is ListPins -> engines.listPins(effect)
--- a/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
@@ -1,6 +1,7 @@
 package lavendertrail.node
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onFailure
 import lavendertrail.model.ServerId
@@ -44,13 +45,25 @@
             pins
         }
 
-    fun transfer(effect: TransferCache): Unit =
-        command("export cache", effect.from) { source ->
-            val exported = source.exportCache(effect.program)
-            exported.fold({ cache -> command("import cache", effect.to) { it.importCache(cache) } }, {})
-            exported
+    /** Calls [onEnd] once the copy has ended, however it ended. */
+    fun transfer(
+        effect: TransferCache,
+        onEnd: () -> Unit,
+    ): Unit =
+        background.run("cache transfer from ${effect.from} to ${effect.to}") {
+            try {
+                copy(effect)
+            } finally {
+                onEnd()
+            }
         }
 
+    private fun copy(effect: TransferCache) {
+        val source = backends.engine(effect.from) ?: return
+        val target = backends.engine(effect.to) ?: return
+        source.exportCache(effect.program).andThen { target.importCache(it) }.onFailure { Logger.info("engine: $it") }
+    }
+
     /** An engine that can't be asked counts as one that doesn't have the stream; the call's deadline still holds. */
     fun find(effect: FindStream): Unit =
         background.run("search of the stream of ${effect.call}") {
--- a/node/src/main/kotlin/lavendertrail/node/Node.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Node.kt
@@ -8,8 +8,10 @@
 import lavendertrail.journal.JournalStore
 import lavendertrail.journal.fileJournalStore
 import lavendertrail.membership.NodeRecord
+import lavendertrail.membership.OwnedPartition
 import lavendertrail.model.FailureDomain
 import lavendertrail.model.NodeId
+import lavendertrail.model.PartitionId
 import lavendertrail.model.RegionId
 import lavendertrail.peer.PeerLimits
 import lavendertrail.peer.PeerServer
@@ -86,10 +88,14 @@
     private val watch = ServiceWatch(service, background, settings.timing.watchIdleMillis, runner::submit)
     private val polls = Polls(platform.hostList, backends, reachability, background, runner::submit)
     private val router = EntryRouter(self.node, runner::state, owner, peers, background, onForward = metrics::forwarded)
-    private val api = nodeApi(settings, router, runner::state, background, metrics, service, peers, store, ::dump, ::notReady, gate)
+    private val api =
+        nodeApi(settings, router, runner::state, background, metrics, service, peers, store, runner::submit, ::dump, ::notReady, gate)
     private var peerServer: PeerServer? = null
     private var apiServer: HttpServer? = null
 
+    /** As of the last step; used on the runner's thread only. */
+    private var owned: Map<PartitionId, OwnedPartition> = emptyMap()
+
     @Volatile
     private var draining = false
 
@@ -179,12 +185,20 @@
 
     /** The record in the service tells other nodes that this one leaves, so it is written as soon as that is decided. */
     private fun observe(state: NodeState) {
+        releaseLost(state)
         if (state.membership.shuttingDown && !leavingSeen) {
             leavingSeen = true
             background.run("node record") { lease.renew() }
         }
     }
 
+    private fun releaseLost(state: NodeState) {
+        val now = state.membership.owned
+        if (now === owned) return
+        owned.keys.filter { it !in now }.forEach(replicator::release)
+        owned = now
+    }
+
     private fun sweep() {
         hub.sweep(TimeUnit.MILLISECONDS.toNanos(KEEP_TEXT_MILLIS))
         peers.sweep()
--- a/node/src/main/kotlin/lavendertrail/node/NodeDump.kt
+++ b/node/src/main/kotlin/lavendertrail/node/NodeDump.kt
@@ -1,15 +1,22 @@
 package lavendertrail.node
 
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.encodeToJsonElement
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
+import lavendertrail.dispatch.dispatchSummary
+import lavendertrail.program.partitionSummaries
+import lavendertrail.program.programSummaries
 import lavendertrail.reducer.NodeState
 
+private val dumpJson = Json { encodeDefaults = true }
+
 /** State of the process as JSON for operators: no texts and no tokens of callers. */
 internal fun dump(
     state: NodeState,
@@ -27,6 +34,9 @@
         putRunner(stats, waitingRequests)
         putMembership(state)
         putConfig(state)
+        put("partitions", dumpJson.encodeToJsonElement(state.partitionSummaries()))
+        put("programs", dumpJson.encodeToJsonElement(state.programSummaries()))
+        put("dispatch", dumpJson.encodeToJsonElement(state.dispatchSummary(System.currentTimeMillis())))
         putJsonObject("serviceCalls") { serviceCalls.toSortedMap().forEach { (kind, count) -> put(kind, count) } }
     }
 
--- a/node/src/main/kotlin/lavendertrail/node/ServiceRecords.kt
+++ b/node/src/main/kotlin/lavendertrail/node/ServiceRecords.kt
@@ -69,7 +69,7 @@
             )
         }
 
-    /** Keeps the higher count where another node wrote the same fingerprint. */
+    /** Keeps the higher count where another node wrote the same fingerprint, unless the mark clears it. */
     fun savePoisonMark(effect: SavePoisonMark): Unit =
         background.run("poison mark ${effect.mark.fingerprint}") {
             val key = ServiceKeys.poison(effect.mark.fingerprint)
@@ -104,7 +104,7 @@
     ownerNode == other.ownerNode && ownerIncarnation == other.ownerIncarnation && epoch == other.epoch
 
 private fun PoisonMark.merged(other: PoisonMark?): PoisonMark =
-    if (other == null) {
+    if (other == null || (crashes == 0 && other.lastCrashMillis <= lastCrashMillis)) {
         this
     } else {
         copy(
--- a/node/src/main/kotlin/lavendertrail/node/ServiceWatch.kt
+++ b/node/src/main/kotlin/lavendertrail/node/ServiceWatch.kt
@@ -15,7 +15,6 @@
 import lavendertrail.reducer.NodeRecordsRead
 import lavendertrail.reducer.PartitionRecordRead
 import lavendertrail.reducer.PoisonLearned
-import lavendertrail.reducer.PoisonLifted
 import lavendertrail.reducer.PoisonMark
 import lavendertrail.reducer.StoredRecord
 import org.tinylog.kotlin.Logger
@@ -142,7 +141,6 @@
     private fun applyPoison(batch: WatchBatch) {
         val marks = batch.changed.under(ServiceKeys.POISON).mapNotNull { decoded<PoisonMark>(it) }
         if (marks.isNotEmpty()) emit(PoisonLearned(marks))
-        batch.deletedKeys.filter { it.startsWith(ServiceKeys.POISON) }.forEach { emit(PoisonLifted(it.removePrefix(ServiceKeys.POISON))) }
     }
 
     private inline fun <reified T> decoded(entry: KeyValue): T? =
