--- a/node/src/main/kotlin/lavendertrail/node/Effects.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Effects.kt
@@ -41,19 +41,18 @@
     private val saveConfig: (SaveConfig) -> Unit,
     private val onShutdownReady: () -> Unit,
 ) {
-    /** An attempt whose prompt's cache is copied to its server in the same step waits for the copy. */
     fun execute(effects: List<Effect>) {
         val transfers = effects.filterIsInstance<TransferCache>()
-        if (transfers.isEmpty()) return effects.forEach(::execute)
-        val waiting = effects.filterIsInstance<StartAttempt>().filter { start -> transfers.any { it.precedes(start) } }
-        transfers.forEach { transfer ->
-            engines.transfer(transfer) { waiting.filter { transfer.precedes(it) }.forEach(::start) }
+        val starts = effects.filterIsInstance<StartAttempt>()
+        for (effect in effects) {
+            when (effect) {
+                is StartAttempt -> start(effect, after = transfers.firstOrNull { effect.isAfter(it) })
+                is TransferCache -> if (starts.none { it.isAfter(effect) }) engines.transfer(effect) {}
+                else -> execute(effect)
+            }
         }
-        effects.filter { it !in transfers && it !in waiting }.forEach(::execute)
     }
 
-    private fun TransferCache.precedes(start: StartAttempt): Boolean = start.call.program == program && start.server == to
-
     private fun execute(effect: Effect): Unit =
         when (effect) {
             is AppendHistory -> journal.append(effect)
@@ -85,9 +84,14 @@
         }
 
     /** The waiting callers are attached before the first byte can arrive. */
-    private fun start(effect: StartAttempt) {
+    private fun start(
+        effect: StartAttempt,
+        after: TransferCache? = null,
+    ) {
         attempts.begin(effect)
         owner.attachWaiting(effect.call, effect.body)
-        attempts.start(effect)
+        if (after == null) attempts.start(effect) else engines.transfer(after) { attempts.start(effect) }
     }
+
+    private fun StartAttempt.isAfter(transfer: TransferCache): Boolean = transfer.program == call.program && transfer.to == server
 }
--- a/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/EngineCommands.kt
@@ -1,5 +1,6 @@
 package lavendertrail.node
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
@@ -45,23 +46,28 @@
             pins
         }
 
-    /** Calls [onEnd] once the copy has ended, however it ended. */
+    /**
+     * Copies a program's cache and then runs [next], also where the copy failed: the prompt is computed then. After a
+     * failure the load polls tell which of the two engines can be reached.
+     */
     fun transfer(
         effect: TransferCache,
-        onEnd: () -> Unit,
+        next: () -> Unit,
     ): Unit =
-        background.run("cache transfer from ${effect.from} to ${effect.to}") {
-            try {
-                copy(effect)
-            } finally {
-                onEnd()
+        background.run("transfer of the cache of ${effect.program}") {
+            val ended = copyCache(effect)
+            next()
+            ended.onFailure { error ->
+                Logger.warn("engine: $error")
+                poll(effect.from)
+                poll(effect.to)
             }
         }
 
-    private fun copy(effect: TransferCache) {
-        val source = backends.engine(effect.from) ?: return
-        val target = backends.engine(effect.to) ?: return
-        source.exportCache(effect.program).andThen { target.importCache(it) }.onFailure { Logger.info("engine: $it") }
+    private fun copyCache(effect: TransferCache): Result<Unit, StepError> {
+        val from = backends.engine(effect.from) ?: return Err(StepError("export cache", effect.from.value, "no record names the server"))
+        val to = backends.engine(effect.to) ?: return Err(StepError("import cache", effect.to.value, "no record names the server"))
+        return from.exportCache(effect.program).andThen { to.importCache(it) }
     }
 
     /** An engine that can't be asked counts as one that doesn't have the stream; the call's deadline still holds. */
--- a/node/src/main/kotlin/lavendertrail/node/EventRecorder.kt
+++ b/node/src/main/kotlin/lavendertrail/node/EventRecorder.kt
@@ -86,6 +86,16 @@
 
 /**
  * Hash of the state's text. Persistent maps with enum keys order their entries by identity hash and would differ
- * between processes; the sorted characters of the text don't depend on that order.
+ * between processes; the sorted characters of the text don't depend on that order. Objects without a text of their own
+ * show as such a hash too, which is left out.
  */
-internal fun NodeState.digest(): String = sha256Hex(toString().toCharArray().apply { sort() }.concatToString())
+internal fun NodeState.digest(): String =
+    sha256Hex(
+        toString()
+            .replace(IDENTITY_HASH, "")
+            .toCharArray()
+            .apply { sort() }
+            .concatToString(),
+    )
+
+private val IDENTITY_HASH = Regex("@[0-9a-f]{1,8}")
--- a/node/src/main/kotlin/lavendertrail/node/Node.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Node.kt
@@ -110,6 +110,9 @@
     /** The state of the reducer after the last event. */
     public val state: NodeState get() = runner.state
 
+    /** Events that were dropped because a sub-reducer failed; 0 unless there is a fault in the code. */
+    public val runnerFaults: Long get() = runner.stats().faults
+
     public fun start() {
         runner.start()
         configFile?.load()?.let(runner::submit)
--- a/node/src/main/kotlin/lavendertrail/node/Runner.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Runner.kt
@@ -3,6 +3,7 @@
 import lavendertrail.reducer.Effect
 import lavendertrail.reducer.Event
 import lavendertrail.reducer.NodeState
+import lavendertrail.reducer.Step
 import lavendertrail.reducer.Tick
 import lavendertrail.reducer.TimedEvent
 import lavendertrail.reducer.reduce
@@ -94,8 +95,17 @@
         recorder?.record(timed)
         state = step.state
         meter.decided(System.nanoTime() - begin, event !== Tick)
-        if (step.effects.isNotEmpty()) execute(step.effects)
-        observe(step.state)
+        handOver(step)
+    }
+
+    private fun handOver(step: Step) {
+        try {
+            if (step.effects.isNotEmpty()) execute(step.effects)
+            observe(step.state)
+        } catch (fault: RuntimeException) {
+            meter.fault()
+            Logger.error(fault, "runner: effects of a step could not be handed over")
+        }
     }
 
     private companion object {
