--- a/node/src/main/kotlin/lavendertrail/node/Commands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Commands.kt
@@ -33,8 +33,33 @@
     }
     val parser = ArgParser("lavendertrail")
     parser.subcommands(*commands.toTypedArray())
-    parser.parse(args)
-    return commands.first { it.name == args.first() }.exitCode
+    (commands + parser).forEach { it.endWithException() }
+    return try {
+        parser.parse(args)
+        commands.first { it.name == args.first() }.exitCode
+    } catch (end: ParserEnd) {
+        val output = if (end.code == EXIT_OK) System.out else System.err
+        output.println(end.message)
+        if (end.code == EXIT_OK) EXIT_OK else EXIT_USAGE
+    }
+}
+
+private class ParserEnd(
+    message: String,
+    val code: Int,
+) : RuntimeException(message)
+
+/**
+ * kotlinx-cli ends the process by itself, with code 127 on wrong usage. Its hook for another end is not public, but has a
+ * stable name in the class file. Where a later version renames it, the process ends as the library does.
+ */
+private fun ArgParser.endWithException() {
+    val end: (String, Int) -> Nothing = { message, code -> throw ParserEnd(message, code) }
+    try {
+        ArgParser::class.java.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(this, end)
+    } catch (_: NoSuchMethodException) {
+        return
+    }
 }
 
 @OptIn(ExperimentalCli::class)
@@ -109,6 +134,7 @@
 
 /** Returns when SIGTERM was handled: the JVM's exit waits for the shutdown hook, which waits for the drain. */
 private fun runNode(settings: NodeSettings): Int {
+    configureLogs(settings.log)
     val node = Node(settings, httpPlatform(settings.platform))
     Runtime.getRuntime().addShutdownHook(Thread({ node.drain() }, "shutdown"))
     node.start()
--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -87,6 +87,13 @@
         "programs.maxWaitingMillis" to (millis(0, HOUR_MILLIS) means "Longest wait for an earlier position."),
         "programs.endedRetentionMillis" to (millis(0, DAY_MILLIS) means "Time for which an ended program stays in memory."),
         "programs.bytesPerToken" to (Range(1L..16) means "Estimate of a token's length for placement."),
+        "programs.maxRecentCalls" to (Range(1L..10_000) means "Finished calls of a program whose texts stay in memory."),
+        "programs.maxRecentTextBytes" to
+            (Range(0L..1_073_741_824) means "Texts of one program that stay in memory; older ones are read from the journal."),
+        "programs.cancelLimitMillis" to (millis(0, HOUR_MILLIS) means "Time that a cancelled call gets to end."),
+        "programs.retryAfterMillis" to (millis(1, HOUR_MILLIS) means "Wait that a refused caller is told."),
+        "dispatch.retryBurst" to (Range(0L..100_000) means "Retries that are allowed beyond the retry budget after a quiet time."),
+        "dispatch.maxAttempts" to (Range(1L..100) means "Attempts of one call."),
         "dispatch.policy" to
             (Choice(listOf("programAware", "roundRobinFifo", "leastLoadFifo", "stickyFifo")) means "Dispatch policy; see docs/policy.md."),
         "dispatch.maxClassWaitMillis" to (millis(0, HOUR_MILLIS) means "Wait after which a call of the lowest class passes all classes."),
--- a/node/src/main/kotlin/lavendertrail/settings/SettingsCatalogue.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingsCatalogue.kt
@@ -30,6 +30,8 @@
     val text: String,
 )
 
+private val UNITS = listOf("Millis" to "milliseconds", "Days" to "days", "Bytes" to "bytes", "Tokens" to "tokens", "Percent" to "percent")
+
 private val templateJson = Json { encodeDefaults = true }
 
 private val template: JsonObject =
@@ -82,8 +84,6 @@
 
 private fun shown(value: JsonElement): String? = value.toString().removeSurrounding("\"").takeIf { it != "null" }
 
-private val UNITS = listOf("Millis" to "milliseconds", "Days" to "days", "Bytes" to "bytes", "Tokens" to "tokens", "Percent" to "percent")
-
 internal fun unitOf(key: String): String = UNITS.firstOrNull { key.endsWith(it.first) }?.second.orEmpty()
 
 /** Text of docs/settings.md. */
--- /dev/null
+++ b/node/src/test/kotlin/lavendertrail/node/CallStreamTest.kt
@@ -0,0 +1,80 @@
+package lavendertrail.node
+
+import lavendertrail.model.CallId
+import lavendertrail.model.ProgramId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class CallStreamTest {
+    private val call = CallId(ProgramId("dev-001-a"), 0)
+    private val hub = StreamHub(maxBytesPerCall = 64)
+    private val received = StringBuilder()
+
+    /** Keeps what a caller has, as a caller does: a lower offset takes back what followed it. */
+    private fun receive(
+        offset: Long,
+        text: String,
+    ) {
+        val kept = received.toString().toByteArray().decodeToString(0, offset.toInt())
+        received.setLength(0)
+        received.append(kept).append(text)
+    }
+
+    @Test
+    fun `a late caller gets what was there from its own offset on`() {
+        hub.begin(call, 1)
+        hub.append(call, 1, "one ")
+        hub.append(call, 1, "two ")
+        val late = mutableListOf<Pair<Long, String>>()
+        hub.attach(call, requestId = 7, fromByte = 4) { offset, text -> late += offset to text }
+        hub.append(call, 1, "three")
+        assertEquals(listOf(4L to "two ", 8L to "three"), late)
+    }
+
+    @Test
+    fun `a second attempt with the same text sends nothing twice`() {
+        hub.begin(call, 1)
+        hub.attach(call, 7, 0, ::receive)
+        hub.append(call, 1, "the same ")
+        hub.begin(call, 2)
+        hub.append(call, 1, "late text of the first attempt")
+        hub.append(call, 2, "the ")
+        hub.append(call, 2, "same text")
+        assertEquals("the same text", received.toString())
+    }
+
+    @Test
+    fun `a second attempt with other text takes back what differs, at the start of a character`() {
+        hub.begin(call, 1)
+        hub.attach(call, 7, 0, ::receive)
+        hub.append(call, 1, "señal é")
+        hub.begin(call, 2)
+        hub.append(call, 2, "señal è!")
+        assertEquals("señal è!", received.toString())
+    }
+
+    @Test
+    fun `the final text takes back what is not in it`() {
+        hub.begin(call, 1)
+        hub.attach(call, 7, 0, ::receive)
+        hub.append(call, 1, "partial and wrong")
+        hub.finish(call, "partial")
+        assertEquals("partial", received.toString())
+        assertEquals(0, hub.size)
+    }
+
+    @Test
+    fun `text above the bound is not kept`() {
+        hub.begin(call, 1)
+        hub.attach(call, 7, 0, ::receive)
+        hub.append(call, 1, "x".repeat(60))
+        hub.append(call, 1, "y".repeat(60))
+        assertEquals("x".repeat(60), received.toString())
+    }
+
+    @Test
+    fun `a call that does not run here takes no callers`() {
+        assertFalse(hub.attach(call, 7, 0, ::receive))
+    }
+}
