Keep flushing after a closed file and list only copies in use

Cause: the flush at intervals took a file that was closed while it was flushed for a failed disk, and marked the copy damaged. Listing the copies read the last segment of every partition on the disk.

Change: such a flush is repeated; the list holds the copies that were used since the store was opened.

--- a/node/src/main/kotlin/lavendertrail/journal/FileCopyStorage.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileCopyStorage.kt
@@ -114,6 +114,10 @@
     /** The file to flush since the last call, if any. The caller flushes it without keeping requests waiting. */
     fun takeUnflushed(): Path? = if (unflushed) segments.lastOrNull()?.path.also { unflushed = false } else null
 
+    fun flushAgain() {
+        unflushed = true
+    }
+
     /** After a failed flush the pages may be gone although they are still read from memory, so the copy isn't trusted. */
     fun flushFailed(cause: IOException) {
         val segment = segments.lastOrNull() ?: return
--- a/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
@@ -4,6 +4,7 @@
 import org.tinylog.kotlin.Logger
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
 import java.nio.channels.FileChannel
 import java.nio.channels.OverlappingFileLockException
 import java.nio.file.Files
@@ -89,7 +90,8 @@
     override fun reclaim(request: JournalReclaim): JournalAnswer =
         guarded { copyOf(request.partition)?.reclaim(request) ?: JournalAnswer.Unknown }
 
-    override fun copies(): List<JournalCopyStatus> = partitionsOnDisk().mapNotNull { copyOf(it)?.status(it) }
+    override fun copies(): List<JournalCopyStatus> =
+        slots.mapNotNull { (partition, slot) -> slot.copy?.status(partition) }.sortedBy { it.partition }
 
     override fun close() {
         flusher.shutdown()
@@ -149,6 +151,9 @@
         val path = copy.locked { storage.takeUnflushed() } ?: return
         try {
             if (files.exists(path)) openFiles.use(path) { it.force() }
+        } catch (_: ClosedChannelException) {
+            // The file was deleted meanwhile, or an interrupted thread closed it.
+            copy.locked { storage.flushAgain() }
         } catch (e: IOException) {
             Logger.error { "journal: flush of partition $partition failed: ${e.message}" }
             copy.locked { storage.flushFailed(e) }
--- a/node/src/main/kotlin/lavendertrail/journal/JournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/JournalStore.kt
@@ -32,5 +32,6 @@
 
     public fun reclaim(request: JournalReclaim): JournalAnswer
 
+    /** The copies that were used since the store was opened. */
     public fun copies(): List<JournalCopyStatus>
 }
