Write hashes in hex without a formatter

sha256Hex and the digest of the prompt chain formatted each byte with String.format, three to five times per call. HexFormat writes the same text.

--- a/core/src/main/kotlin/lavendertrail/history/RecordChain.kt
+++ b/core/src/main/kotlin/lavendertrail/history/RecordChain.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.Json
 import lavendertrail.model.ProgramId
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** Hash that precedes the first record of a program. */
 public const val GENESIS_HASH: String = ""
@@ -48,8 +49,4 @@
         ).joinToString("\n"),
     )
 
-public fun sha256Hex(text: String): String =
-    MessageDigest
-        .getInstance("SHA-256")
-        .digest(text.toByteArray())
-        .joinToString("") { "%02x".format(it) }
+public fun sha256Hex(text: String): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.toByteArray()))
--- a/core/src/main/kotlin/lavendertrail/program/Digest.kt
+++ b/core/src/main/kotlin/lavendertrail/program/Digest.kt
@@ -1,6 +1,7 @@
 package lavendertrail.program
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * The first 128 bits of a SHA-256, packed into two longs: a quarter of the memory of the hex string, and still no
@@ -10,7 +11,7 @@
     val high: Long,
     val low: Long,
 ) {
-    fun hex(): String = "%016x%016x".format(high, low)
+    fun hex(): String = HexFormat.of().run { toHexDigits(high) + toHexDigits(low) }
 }
 
 internal fun digestOf(vararg parts: String): Digest {
--- a/core/src/main/kotlin/lavendertrail/program/ProgramSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramSettings.kt
@@ -12,8 +12,8 @@
     public val maxWaitingMillis: Long = 30_000,
     public val endedRetentionMillis: Long = 600_000,
     public val bytesPerToken: Int = DEFAULT_BYTES_PER_TOKEN,
-    public val maxRecentCalls: Int = 16,
-    public val maxRecentTextBytes: Int = 49_152,
+    public val maxRecentCalls: Int = 8,
+    public val maxRecentTextBytes: Int = 24_576,
     public val cancelLimitMillis: Long = 5_000,
     public val retryAfterMillis: Long = 200,
 )
