--- a/core/src/main/kotlin/lavendertrail/program/CallOrdering.kt
+++ b/core/src/main/kotlin/lavendertrail/program/CallOrdering.kt
@@ -31,7 +31,7 @@
     waiting: WaitingCall,
 ) {
     val call = waiting.request.call
-    val key = checkNotNull(waiting.request.key)
+    val key = digestOf(checkNotNull(waiting.request.key))
     if (call in use.followers) return
     change(call.program.root) { it.copy(keys = it.keys.put(key, use.copy(followers = use.followers.add(call)))) }
 }
--- a/core/src/main/kotlin/lavendertrail/program/CallSubmission.kt
+++ b/core/src/main/kotlin/lavendertrail/program/CallSubmission.kt
@@ -195,7 +195,7 @@
 
 /** The call that the key of [request] names, also where the caller now says that it may repeat. */
 internal fun ProgramWork.keyUse(request: CallRequest): KeyUse? =
-    request.key?.let { program(request.call.program.root)?.keys?.get(it) }?.takeIf { it.call != request.call }
+    request.key?.let { program(request.call.program.root)?.keys?.get(digestOf(it)) }?.takeIf { it.call != request.call }
 
 private fun ProgramWork.joinWaiting(
     program: Program,
--- a/core/src/main/kotlin/lavendertrail/program/KeyResult.kt
+++ b/core/src/main/kotlin/lavendertrail/program/KeyResult.kt
@@ -9,4 +9,10 @@
     val outcome: RunOutcome,
     val refusal: RefusalReason?,
     val server: ServerId?,
-)
+) {
+    companion object {
+        private val answeredByNone = KeyResult(RunOutcome.RUN, null, null)
+
+        fun answered(server: ServerId?): KeyResult = if (server == null) answeredByNone else KeyResult(RunOutcome.RUN, null, server)
+    }
+}
--- a/core/src/main/kotlin/lavendertrail/program/PartitionLifecycle.kt
+++ b/core/src/main/kotlin/lavendertrail/program/PartitionLifecycle.kt
@@ -33,7 +33,7 @@
 
 private fun ProgramWork.acknowledged(acknowledgement: Acknowledgement) {
     val open = program(acknowledgement.program)?.open
-    val followers = open?.key?.let { program(acknowledgement.program.root)?.keys?.get(it)?.followers }.orEmpty()
+    val followers = open?.key?.let { program(acknowledgement.program.root)?.keys?.get(digestOf(it))?.followers }.orEmpty()
     state = state.acknowledge(acknowledgement, nowMillis, settings)
     when (acknowledgement) {
         is Acknowledgement.Opened -> opened(acknowledgement.program)
@@ -219,7 +219,7 @@
     val call = CallId(id, entry.position)
     change(id) { it.copy(open = entry) }
     val body = entry.body
-    val sameKey = entry.sameAs?.let { program(id.root)?.keys?.get(entry.key)?.result }
+    val sameKey = entry.sameAs?.let { program(id.root)?.keys?.get(digestOf(entry.key.orEmpty()))?.result }
     when {
         sameKey != null -> recordSameKeyFinish(call, sameKey)
         body is CallBody.ToolResult -> recordToolResultFinish(call)
--- a/core/src/main/kotlin/lavendertrail/program/Program.kt
+++ b/core/src/main/kotlin/lavendertrail/program/Program.kt
@@ -16,7 +16,7 @@
  *
  * Texts are kept for the last finished calls only, up to a limit per program: [recent] holds those calls, and
  * [forgottenMessages] counts the messages before them, which [HistoryTexts] reads from the journal. [keys] is kept at the
- * root of a tree. [lastRecord] has no content.
+ * root of a tree, by digest, which takes less memory than callers' strings. [lastRecord] has no content.
  */
 internal data class Program(
     val id: ProgramId,
@@ -39,7 +39,7 @@
     val prompt: PromptSize = PromptSize(),
     val chain: PromptChain = PromptChain.EMPTY,
     val unresolved: PersistentMap<Int, UnresolvedUse> = persistentHashMapOf(),
-    val keys: PersistentMap<String, KeyUse> = persistentHashMapOf(),
+    val keys: PersistentMap<Digest, KeyUse> = persistentHashMapOf(),
     val liveChildren: PersistentSet<ProgramId> = persistentHashSetOf(),
     val ending: Ending? = null,
     val endedMillis: Long? = null,
--- a/core/src/main/kotlin/lavendertrail/program/ProgramFold.kt
+++ b/core/src/main/kotlin/lavendertrail/program/ProgramFold.kt
@@ -123,7 +123,7 @@
 ): ProgramsState {
     val key = entry.key
     if (key == null || entry.repeatable) return this
-    return change(call.program.root) { it.copy(keys = it.keys.put(key, KeyUse(call, entry.bodyDigest))) }
+    return change(call.program.root) { it.copy(keys = it.keys.put(digestOf(key), KeyUse(call, entry.bodyDigest))) }
 }
 
 private fun ProgramsState.foldFinished(
@@ -285,7 +285,7 @@
     call: CallId,
     done: CallEntry,
 ): ProgramsState {
-    val key = done.key
+    val key = done.key?.let { digestOf(it) }
     if (key == null || done.repeatable || done.sameAs != null) return this
     return change(call.program.root) { root ->
         val use = root.keys[key]
@@ -299,6 +299,6 @@
 
 private fun CallEntry.keyResult(): KeyResult =
     when (val known = checkNotNull(result)) {
-        is CallResult.Answered -> KeyResult(RunOutcome.RUN, null, known.server)
+        is CallResult.Answered -> KeyResult.answered(known.server)
         is CallResult.Refused -> KeyResult(known.refusal.outcome, known.refusal.reason, null)
     }
