--- a/core/src/main/kotlin/lavendertrail/bill/Bill.kt
+++ b/core/src/main/kotlin/lavendertrail/bill/Bill.kt
@@ -28,6 +28,9 @@
  * Verifies [records] of any number of programs, in any order between programs, and sums up their use. A settled call
  * counts with the use that was settled instead of the one that was reserved.
  *
+ * A chain whose last records were left out is still a sound chain: only a later copy, or one from the other owner, shows
+ * that.
+ *
  * ```kotlin
  * val bill = billOf(records.map(HistoryRecord::withoutContent))
  * check(bill.faults.isEmpty())
--- a/core/src/test/kotlin/lavendertrail/program/ProgramLifecycleTest.kt
+++ b/core/src/test/kotlin/lavendertrail/program/ProgramLifecycleTest.kt
@@ -1,5 +1,10 @@
 package lavendertrail.program
 
+import kotlinx.collections.immutable.persistentHashMapOf
+import lavendertrail.dispatch.CallEntry
+import lavendertrail.dispatch.DispatchCore
+import lavendertrail.dispatch.DispatchState
+import lavendertrail.dispatch.Target
 import lavendertrail.history.HistoryRecord
 import lavendertrail.model.Budget
 import lavendertrail.model.CallBody
@@ -15,6 +20,7 @@
 import lavendertrail.reducer.CallSubmitted
 import lavendertrail.reducer.ChildOpenRequested
 import lavendertrail.reducer.DispatchCancelled
+import lavendertrail.reducer.PartitionLost
 import lavendertrail.reducer.ProgramEndRequested
 import lavendertrail.reducer.ProgramGone
 import lavendertrail.reducer.ProgramOpenRequested
@@ -117,6 +123,19 @@
         }
     }
 
+    /** Guards against giving up a call that still runs here because a journal node was replaced. */
+    @Test
+    fun `a call that dispatch still runs is awaited when the journal moves`() {
+        val bench = ProgramBench().open().submit(10, callOf(0, CallBody.ToolCall(pay, "x"), key = "k"))
+        val running = bench.dispatched().single()
+        val entry = CallEntry(running, Target.Tool(pay), bench.nowMillis, 1, bench.nowMillis)
+        bench.state = bench.state.copy(dispatch = DispatchState(DispatchCore(calls = persistentHashMapOf(running.call to entry))))
+        bench.send(PartitionLost(root.partition, "journal node lost")).acquire(bench.journal.toList(), 2).acknowledge()
+        assertEquals(listOf(false, true), bench.dispatched().map { it.resumeOnly })
+        bench.submit(11, callOf(0, CallBody.ToolCall(pay, "x"), key = "k")).finish(running.call, answered("paid"))
+        assertEquals("paid", (bench.answers(11).single() as CallResult.Answered).text)
+    }
+
     /** Guards against a settlement that is not durable, exceeds the reservation or charges twice. */
     @Test
     fun `a call that may have run is charged whole until it is settled`() {
