--- a/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
@@ -26,11 +26,20 @@
     val found = ArrayList<Candidate>(minOf(limit, records.size))
     for (record in records) {
         if (found.size >= limit) break
-        if (takesWork(record.server)) found += Candidate(record, view(record.server), limitOf(record), hasRoom(record))
+        if (takesWork(record.server) &&
+            canServe(target, record.server)
+        ) {
+            found += Candidate(record, view(record.server), limitOf(record), hasRoom(record))
+        }
     }
     return found
 }
 
+private fun DispatchWork.canServe(
+    target: Target,
+    server: ServerId,
+): Boolean = target !is Target.Model || settings.enginesLoadOnDemand || isLoaded(view(server), target.model)
+
 /** Starts queued calls of [target] for as long as there is room. Each round starts, holds, parks or refuses one call. */
 internal fun DispatchWork.pump(target: Target) {
     startIsolated(target)
@@ -175,7 +184,7 @@
     val reserved = entry.waitsFor?.takeIf { takesWork(it) && view(it).isolatedBy == id }
     val server = reserved ?: reserve(entry) ?: return
     val view = view(server)
-    if (view.running.isNotEmpty() || entry.call.account in core.accounts.blocked || !mayRunOn(entry, server)) return
+    if (view.running.isNotEmpty() || view.isDoubtful || entry.call.account in core.accounts.blocked || !mayRunOn(entry, server)) return
     val others = view.estimatedRunning(nowMillis, settings.staleLoadMillis)
     if (others > 0 && nowMillis - entry.sinceMillis < ISOLATION_PATIENCE_MILLIS) {
         poll(server, ISOLATION_POLL_MILLIS)
@@ -225,7 +234,7 @@
     changeView(server) {
         it.copy(
             running = it.running.put(id, next.attempts),
-            startedSinceLoad = it.startedSinceLoad + 1,
+            pins = it.pins.removed(call.call.program),
             pendingPrefillTokens = it.pendingPrefillTokens + uncached,
         )
     }
