Start crash and cancel in the engine contract once the call runs

Cause: both came 200 ms after the start, which a busy machine may not reach, so that the case would test nothing. Change: they wait until the ledger shows the call; answers are longer. Conclusion: the same failures are checked, without a fixed delay.

--- a/standins/src/test/kotlin/lavendertrail/standins/ModelEngineContract.kt
+++ b/standins/src/test/kotlin/lavendertrail/standins/ModelEngineContract.kt
@@ -108,17 +108,15 @@
             Case("down", AttemptFailure.REJECTED, 0) { it.crash() },
             Case("unknown model", AttemptFailure.REJECTED, 0, { it.copy(model = ModelId("other")) }),
             Case("poison", AttemptFailure.CONNECTION_LOST, 1, { it.copy(messages = it.messages + Message("user", "[poison]")) }),
-            Case("crash while running", AttemptFailure.CONNECTION_LOST, 1) { engine ->
-                Delays.run(200) { engine.crash() }
-            },
-            Case("deadline", AttemptFailure.DEADLINE, 1, { it.copy(deadlineMillis = System.currentTimeMillis() + 250) }),
+            Case("crash while running", AttemptFailure.CONNECTION_LOST, 1) { it.onceRunning { crash() } },
+            Case("deadline", AttemptFailure.DEADLINE, 1, { it.copy(deadlineMillis = System.currentTimeMillis() + 500) }),
             Case("past deadline", AttemptFailure.DEADLINE, 0, { it.copy(deadlineMillis = System.currentTimeMillis() - 1) }),
-            Case("cancelled", AttemptFailure.ERROR, 1) { engine -> Delays.run(200) { engine.cancel(TEST_CALL) } },
+            Case("cancelled", AttemptFailure.ERROR, 1) { it.onceRunning { cancel(TEST_CALL) } },
         ).forEach { case ->
             withEngine { standin, engine ->
                 case.cause(standin)
                 if (case.name == "down") Thread.sleep(100)
-                val request = testRequest(TEST_MODEL, "x [answer-tokens=600]").copy(idleLimitMillis = 500)
+                val request = testRequest(TEST_MODEL, "x [answer-tokens=1000]").copy(idleLimitMillis = 500)
                 val error = assertNotNull(engine.generate(case.change(request)) {}.getError(), case.name)
                 awaitTrue(case.name) { standin.executedCalls.size >= case.executions }
                 assertEquals("${case.name}: ${case.failure}", "${case.name}: ${error.failure}", error.error.message)
@@ -128,6 +126,13 @@
         }
     }
 
+    private fun EngineStandin.onceRunning(action: EngineStandin.() -> Unit) {
+        thread {
+            awaitTrue("a call runs") { executedCalls.isNotEmpty() }
+            action()
+        }
+    }
+
     /** Guards against giving up on an engine whose connection alone has stalled, and against text passed twice. */
     @Test
     fun `a stalled stream is resumed over a fresh connection`() =
