Bound the time of chunks in the HTTP server test

Change: 50 chunks in turn must take less than 2 s together. Conclusion: the test fails on delay as well as on gathering.

--- a/ports/src/test/kotlin/lavendertrail/http/HttpServerTest.kt
+++ b/ports/src/test/kotlin/lavendertrail/http/HttpServerTest.kt
@@ -18,16 +18,19 @@
 class HttpServerTest {
     private val client = httpClient(HttpClientLimits(idleMillis = 5_000))
 
-    /** Guards against a server or client that gathers chunks: each chunk is sent only after the one before was read. */
+    /** Guards against a server or client that gathers or delays chunks: each is sent only after the one before was read. */
     @Test
     fun `each chunk reaches the client before the next one is sent`() {
         val stream = ChunkStream()
         serving({ Response(Status.OK).body(Body(stream)) }) { url ->
             client(Request(Method.GET, url)).use { response ->
+                val start = System.nanoTime()
                 repeat(50) { number ->
                     stream.send("chunk $number;")
                     assertEquals("chunk $number;", response.body.stream.readText("chunk $number;".length))
                 }
+                val millis = (System.nanoTime() - start) / 1_000_000
+                assertTrue(millis < 2_000, "50 chunks took $millis ms, one after the other")
                 stream.end()
                 assertEquals(-1, response.body.stream.read())
             }
