--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -94,6 +94,35 @@
         "programs.retryAfterMillis" to (millis(1, HOUR_MILLIS) means "Wait that a refused caller is told."),
         "dispatch.retryBurst" to (Range(0L..100_000) means "Retries that are allowed beyond the retry budget after a quiet time."),
         "dispatch.maxAttempts" to (Range(1L..100) means "Attempts of one call."),
+        "dispatch.maxHoldMillis" to
+            (millis(0, HOUR_MILLIS) means "Longest wait of a call for the server that holds its prefix while another has room."),
+        "dispatch.nearEqualPercent" to (Range(0L..100) means "Candidates this close to the best estimate are chosen among at random."),
+        "dispatch.nearDeadlineMillis" to
+            (millis(0, DAY_MILLIS) means "A call whose program's deadline is nearer goes before others of its account and class."),
+        "dispatch.crashVerdictMillis" to
+            (millis(0, HOUR_MILLIS) means "Time in which a lost connection must be explained before it counts as a crash."),
+        "dispatch.isolationEndsAtFirstToken" to
+            (Anything means "Let others onto a suspect's server after its first token instead of after its end."),
+        "dispatch.findStreamMillis" to (millis(0, HOUR_MILLIS) means "Longest search for the stream of a recovered call."),
+        "dispatch.serverBackoffMillis" to
+            (millis(0, HOUR_MILLIS) means "Time without new work for a server that refused a connection or fell silent."),
+        "dispatch.accountShareExpiryMillis" to
+            (millis(100, HOUR_MILLIS) means "Age at which another node's count of an account's calls no longer counts."),
+        "dispatch.cacheHalfLifeMillis" to
+            (millis(100, DAY_MILLIS) means "Age after which half of what is believed about an unpinned cached prefix counts."),
+        "dispatch.cachePressurePercent" to
+            (Range(0L..100) means "Fill of a server's cache above which pauses are no longer bridged by default."),
+        "dispatch.maxPinnedPercent" to (Range(0L..100) means "Share of a server's cache that this node's pins may take."),
+        "dispatch.domainDistanceMillis" to (millis(0, 10_000) means "Delay between two failure domains of a region, one way."),
+        "dispatch.enginesLoadOnDemand" to
+            (Anything means "Engines load a model that is asked for; otherwise only servers that report it get its calls."),
+        "dispatch.weightBytesPerSecond" to (Range(1L..1_000_000_000_000) means "Speed at which an engine loads weights, for estimates."),
+        "dispatch.scaleUpWaitingCalls" to
+            (Range(1L..100_000) means "Waiting calls per loaded server above which a model gets one more server."),
+        "dispatch.scaleUpMillis" to (millis(0, DAY_MILLIS) means "Time for which that must last."),
+        "dispatch.scaleDownMillis" to
+            (millis(0, DAY_MILLIS) means "Time without calls after which a model's server may take another model."),
+        "dispatch.modelOrderMillis" to (millis(1_000, DAY_MILLIS) means "Time after which an order to load a model counts as failed."),
         "dispatch.policy" to
             (Choice(listOf("programAware", "roundRobinFifo", "leastLoadFifo", "stickyFifo")) means "Dispatch policy; see docs/policy.md."),
         "dispatch.maxClassWaitMillis" to (millis(0, HOUR_MILLIS) means "Wait after which a call of the lowest class passes all classes."),
--- a/node/src/test/kotlin/lavendertrail/api/ApiContractTest.kt
+++ b/node/src/test/kotlin/lavendertrail/api/ApiContractTest.kt
@@ -61,6 +61,7 @@
     @Test
     fun `wrong requests get a status and a reason, and nothing runs`() {
         val program = open()
+        val openOther = """{"account":"barakah-night","assistant":"permit-renewal"}"""
         val chat = """{"model":"permit-desk","messages":[{"role":"user","content":"x"}],"lavendertrail":{"program":"$program","position":0}}"""
         val table =
             listOf(
@@ -92,7 +93,7 @@
                 Triple(send(Method.GET, "/v1/programs/$program/calls/0"), 404, "badRequest"),
                 Triple(send(Method.GET, "/v1/none"), 404, "badRequest"),
                 Triple(send(Method.DELETE, "/v1/programs"), 405, "badRequest"),
-                Triple(send(Method.POST, "/v1/programs", "x".repeat(9_000_000)), 413, "badRequest"),
+                Triple(send(Method.POST, "/v1/programs", "x".repeat(MAX_BODY_BYTES + 1_000)), 413, "badRequest"),
                 Triple(send(Method.GET, "/v1/admin/dump"), 401, "notAllowed"),
             )
         table.forEach { (answer, status, reason) ->
@@ -293,6 +294,9 @@
         const val SEED = 20_261_204L
         const val FUZZ_REQUESTS = 400
         const val READ_TIMEOUT_MILLIS = 1_000
+
+        /** Small, because a client that is still sending a large body may miss the answer when the connection closes. */
+        const val MAX_BODY_BYTES = 16_384
         const val PATH_CHARS = "/abcz019.-_~"
         const val BODY_CHARS = "{}[]\",:0123456789-eE. \\u\u0000\u00e9\u20ac"
 
@@ -304,7 +308,14 @@
         fun start() {
             val options =
                 DevOptions(platform = PlatformPresets.small(timeScale = 2.0)) {
-                    it.copy(api = it.api.copy(readTimeoutMillis = READ_TIMEOUT_MILLIS, defaultDeadlineMillis = 20_000))
+                    it.copy(
+                        api =
+                            it.api.copy(
+                                maxBodyBytes = MAX_BODY_BYTES.toLong(),
+                                readTimeoutMillis = READ_TIMEOUT_MILLIS,
+                                defaultDeadlineMillis = 20_000,
+                            ),
+                    )
                 }
             cluster = DevCluster(options)
             cluster.start()
