Exit with 0 after a clean drain and check the data folder at start

Cause: a drained process ended with the JVM's 143, whether or not requests were cut. Change: the shutdown hook ends the process with 0 or 1 after the drain; checks of the data folder. Seen: settings tests pass; run with an unreachable service ends 0.7 s after SIGTERM.

--- a/node/src/main/kotlin/lavendertrail/node/Commands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Commands.kt
@@ -132,11 +132,15 @@
     return EXIT_USAGE
 }
 
-/** Returns when SIGTERM was handled: the JVM's exit waits for the shutdown hook, which waits for the drain. */
+/**
+ * Runs until SIGTERM. The JVM's exit waits for the shutdown hook, which waits for the drain and then sets the exit code:
+ * the JVM alone would end with 143 whether or not requests were cut.
+ */
 private fun runNode(settings: NodeSettings): Int {
     configureLogs(settings.log)
     val node = Node(settings, httpPlatform(settings.platform))
-    Runtime.getRuntime().addShutdownHook(Thread({ node.drain() }, "shutdown"))
+    val drain = { Runtime.getRuntime().halt(if (node.drain()) EXIT_OK else EXIT_FAILED) }
+    Runtime.getRuntime().addShutdownHook(Thread(drain, "shutdown"))
     node.start()
     CountDownLatch(1).await()
     return EXIT_OK
--- a/node/src/main/kotlin/lavendertrail/settings/SettingsCheck.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingsCheck.kt
@@ -16,6 +16,8 @@
 import java.net.ServerSocket
 import java.nio.file.Path
 import kotlin.io.path.exists
+import kotlin.io.path.isDirectory
+import kotlin.io.path.isWritable
 import kotlin.io.path.readText
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -69,6 +71,7 @@
 /** Checks what depends on the host: files that are named must exist, and ports must be free. */
 public fun checkHost(settings: NodeSettings): List<SettingProblem> =
     listOfNotNull(
+        folderProblem("dataFolder", settings.dataFolder),
         fileProblem("api.tlsKeystoreFile", settings.api.tlsKeystoreFile),
         fileProblem("api.tlsPasswordFile", settings.api.tlsPasswordFile),
         fileProblem("peer.certificateFile", settings.peer.certificateFile),
@@ -181,6 +184,16 @@
     file: String?,
 ): SettingProblem? = if (file == null || Path.of(file).exists()) null else SettingProblem(key, file, "must be a file that exists")
 
+private fun folderProblem(
+    key: String,
+    folder: String?,
+): SettingProblem? {
+    val path = Path.of(folder ?: return null).toAbsolutePath()
+    val existing = generateSequence(path) { it.parent }.first { it.exists() }
+    val usable = existing.isDirectory() && existing.isWritable()
+    return if (usable) null else SettingProblem(key, folder, "must be a folder that this process may write to or create")
+}
+
 private fun portProblem(
     key: String,
     ip: String,
--- a/node/src/test/kotlin/lavendertrail/api/ApiContractTest.kt
+++ b/node/src/test/kotlin/lavendertrail/api/ApiContractTest.kt
@@ -62,7 +62,8 @@
     fun `wrong requests get a status and a reason, and nothing runs`() {
         val program = open()
         val openOther = """{"account":"barakah-night","assistant":"permit-renewal"}"""
-        val chat = """{"model":"permit-desk","messages":[{"role":"user","content":"x"}],"lavendertrail":{"program":"$program","position":0}}"""
+        val place = """{"program":"$program","position":0}"""
+        val chat = """{"model":"permit-desk","messages":[{"role":"user","content":"x"}],"lavendertrail":$place}"""
         val table =
             listOf(
                 Triple(send(Method.POST, "/v1/programs", "", null), 401, "notAllowed"),
