--- a/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/FileJournalStore.kt
@@ -54,12 +54,12 @@
     private val openFiles = OpenFiles(files, settings.maxOpenFiles)
     private val lock = lockFolder(folder)
     override val id = storeIdIn(folder, files)
-    private val session = SessionFile(folder.resolve("session"), files)
+    private val marker = OpenMarker(folder.resolve("open"), files)
     private val flusher = Executors.newSingleThreadScheduledExecutor { Thread(it, "journal-flush").apply { isDaemon = true } }
 
     init {
-        if (session.mayHaveLostPages(bootId()) && settings.fsync == FsyncPolicy.INTERVAL) markAllIncomplete()
-        session.start(bootId())
+        if (marker.mayHaveLostPages(bootId()) && settings.fsync == FsyncPolicy.INTERVAL) markAllIncomplete()
+        marker.start(bootId())
         if (settings.fsync == FsyncPolicy.INTERVAL) {
             val millis = settings.fsyncIntervalMillis
             flusher.scheduleWithFixedDelay(::flushAll, millis, millis, TimeUnit.MILLISECONDS)
@@ -98,7 +98,7 @@
         flusher.awaitTermination(1, TimeUnit.MINUTES)
         val flushed = slots.values.map { slot -> flushOnClose(slot) }
         openFiles.close()
-        if (flushed.all { it }) session.end()
+        if (flushed.all { it }) marker.end()
         lock.close()
     }
 
@@ -217,7 +217,7 @@
 }
 
 /** Exists while a store is open, with the boot id of the host, so that a loss of power can be told from a mere restart. */
-private class SessionFile(
+private class OpenMarker(
     private val path: Path,
     private val files: JournalFiles,
 ) {
--- a/node/src/main/kotlin/lavendertrail/journal/NodeLanes.kt
+++ b/node/src/main/kotlin/lavendertrail/journal/NodeLanes.kt
@@ -39,7 +39,7 @@
 
     private fun lane(node: NodeId): ExecutorService =
         lanes.computeIfAbsent(node) {
-            val threads = { task: Runnable -> Thread(task, "$name-$node").apply { isDaemon = true } }
+            val threads = { work: Runnable -> Thread(work, "$name-$node").apply { isDaemon = true } }
             ThreadPoolExecutor(threadsPerNode, threadsPerNode, IDLE_THREAD_SECONDS, TimeUnit.SECONDS, LinkedBlockingQueue(), threads)
                 .apply { allowCoreThreadTimeOut(true) }
         }
--- a/node/src/main/kotlin/lavendertrail/peer/SubmitHandler.kt
+++ b/node/src/main/kotlin/lavendertrail/peer/SubmitHandler.kt
@@ -54,13 +54,13 @@
 ) {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
-    private var task: Future<*>? = null
+    private var running: Future<*>? = null
 
     init {
         observer.setOnReadyHandler { wake() }
         observer.setOnCancelHandler {
             wake()
-            lock.withLock { task }?.cancel(true)
+            lock.withLock { running }?.cancel(true)
         }
     }
 
@@ -69,7 +69,7 @@
         work: () -> Unit,
     ) {
         val started = executor.submit { finish(work) }
-        lock.withLock { task = started }
+        lock.withLock { running = started }
         if (observer.isCancelled) started.cancel(true)
     }
 
