--- a/node/src/main/kotlin/lavendertrail/node/NodeParts.kt
+++ b/node/src/main/kotlin/lavendertrail/node/NodeParts.kt
@@ -5,6 +5,7 @@
 import lavendertrail.adapters.httpModelEngine
 import lavendertrail.adapters.httpToolService
 import lavendertrail.adapters.httpWeightStore
+import lavendertrail.api.errorBody
 import lavendertrail.http.HttpServerLimits
 import lavendertrail.peer.PeerSecurity
 import lavendertrail.settings.ApiSettings
@@ -40,6 +41,7 @@
         maxHeaderBytes = maxHeaderBytes,
         readTimeoutMillis = readTimeoutMillis,
         workerThreads = workerThreads,
+        errorBody = ::errorBody,
     )
 
 /** Null where HTTPS is not set up. */
