Describe the settings of the program reducer

maxRecentCalls, maxRecentTextBytes, cancelLimitMillis and retryAfterMillis had neither a text nor a range.

--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -87,6 +87,10 @@
         "programs.maxWaitingMillis" to (millis(0, HOUR_MILLIS) means "Longest wait for an earlier position."),
         "programs.endedRetentionMillis" to (millis(0, DAY_MILLIS) means "Time for which an ended program stays in memory."),
         "programs.bytesPerToken" to (Range(1L..16) means "Estimate of a token's length for placement."),
+        "programs.maxRecentCalls" to (Range(0L..10_000) means "Finished calls of one program whose texts stay in memory."),
+        "programs.maxRecentTextBytes" to (Range(0L..100_000_000) means "Bytes of texts of one program that stay in memory."),
+        "programs.cancelLimitMillis" to (millis(100, HOUR_MILLIS) means "Longest wait for the end of a cancelled call."),
+        "programs.retryAfterMillis" to (millis(1, HOUR_MILLIS) means "Time after which refused callers are told to try again."),
         "dispatch.policy" to
             (Choice(listOf("programAware", "roundRobinFifo", "leastLoadFifo", "stickyFifo")) means "Dispatch policy; see docs/policy.md."),
         "dispatch.maxClassWaitMillis" to (millis(0, HOUR_MILLIS) means "Wait after which a call of the lowest class passes all classes."),
