Lower a server's limit only when most first tokens are late

In a trial with 8 simulated engines and 1.8 programs/s the learned limits fell to 1 to 4 of 32: one late answer was enough for a decrease, and a short prompt behind a long one counted as late. The expected time now includes the prompts sent there before, a decrease needs a majority of late samples sent after the last one, prompts queue at a server for at most 1 s, and a full cache makes a move there dearer. The core tests pass.

--- a/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/AttemptFlow.kt
@@ -167,14 +167,26 @@
     val model = modelOf(entry.call)
     if (model == null) {
         val overloadedBefore = view(attempt.server).limit.calls != null
-        return if (overloadedBefore) LatencySample(0, 1.0, attempt.runningAtStart, maxRunningCalls, nowMillis) else null
+        return if (overloadedBefore) {
+            LatencySample(
+                attempt.startedMillis,
+                0,
+                1.0,
+                attempt.runningAtStart,
+                maxRunningCalls,
+                nowMillis,
+            )
+        } else {
+            null
+        }
     }
     val firstTokenMillis = (attempt.firstTokenMillis ?: return null) - attempt.startedMillis
     val uncached = (usage.promptTokens - usage.cachedTokens).coerceAtLeast(0).toInt()
     val oneTokenMillis = 1_000.0 / model.decodeTokensPerSecond
     return LatencySample(
+        attempt.startedMillis,
         firstTokenMillis,
-        model.prefillMillis(uncached) + oneTokenMillis,
+        model.prefillMillis(attempt.tokensAhead + uncached) + oneTokenMillis,
         attempt.runningAtStart,
         maxRunningCalls,
         nowMillis,
--- a/core/src/main/kotlin/lavendertrail/dispatch/CallEntry.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/CallEntry.kt
@@ -52,6 +52,8 @@
     val server: ServerId,
     val startedMillis: Long,
     val uncachedTokens: Int,
+    /** Prompt tokens that this node had sent there before and that were not computed yet. */
+    val tokensAhead: Int,
     val chargedMillis: Double,
     val runningAtStart: Int,
     val resume: Boolean = false,
--- a/core/src/main/kotlin/lavendertrail/dispatch/ConcurrencyLimit.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/ConcurrencyLimit.kt
@@ -9,12 +9,18 @@
     /** Least seen time to first token over the expected one; corrects wrong speeds in the model's record. */
     val bestRatio: Double? = null,
     val decreasedMillis: Long = 0,
+    /** Share of late samples, with a tenth of the weight on the newest. */
+    val lateShare: Double = 0.0,
     /** False until the first decrease; the limit grows by one per sample until then, and by 1/limit afterwards. */
     val settled: Boolean = false,
 )
 
-/** One measured time to first token. [expectedMillis] is what the prompt's uncached part takes on an idle server. */
+/**
+ * One measured time to first token. [expectedMillis] is what the prompt's uncached part takes after the prompts that this
+ * node had sent there before, so that a short prompt behind a long one is not taken for congestion.
+ */
 internal data class LatencySample(
+    val startedMillis: Long,
     val firstTokenMillis: Long,
     val expectedMillis: Double,
     val runningAtStart: Int,
@@ -46,14 +52,20 @@
     maxRunningCalls: Int,
 ): Int = (state.calls ?: (maxRunningCalls / 2.0)).toInt().coerceIn(1, maxRunningCalls.coerceAtLeast(1))
 
-// A first token that takes more than twice the expected time, and at least this much longer, is a sign of queueing.
-// Below 50 ms the jitter of the network and of one decode step (29 ms) is as large as the signal.
+// A first token that takes more than twice the expected time, and at least this much longer, is a sign of queueing. The
+// slack covers the prompts of other nodes and a few decode steps (29 ms each).
 private const val LATENCY_TOLERANCE = 2.0
-private const val LATENCY_SLACK_MILLIS = 50.0
+private const val LATENCY_SLACK_MILLIS = 1_000.0
+
+// Single late answers come from prompts that were less cached than believed; congestion makes most answers late. With a
+// decrease at each late answer, limits fell to 2 of 32 in a trial and throughput with them.
+private const val LATE_SHARE_LIMIT = 0.5
+private const val LATE_SHARE_AFTER_DECREASE = 0.25
+private const val LATE_SAMPLE_WEIGHT = 0.1
 private const val DECREASE_FACTOR = 0.85
 private const val OVERLOAD_FACTOR = 0.7
 
-// Samples of calls that were sent before the last decrease took effect must not cause another one.
+// Calls that failed together must not decrease the limit more than once.
 private const val DECREASE_PAUSE_MILLIS = 1_000L
 
 private fun limitAfterSample(
@@ -66,13 +78,16 @@
     val expected = sample.expectedMillis * maxOf(1.0, best)
     val late = sample.firstTokenMillis > expected * LATENCY_TOLERANCE && sample.firstTokenMillis > expected + LATENCY_SLACK_MILLIS
     val calls = state.calls ?: (sample.maxRunningCalls / 2.0)
-    val next = state.copy(bestRatio = best, calls = calls)
+    val lateShare = state.lateShare + LATE_SAMPLE_WEIGHT * ((if (late) 1.0 else 0.0) - state.lateShare)
+    val next = state.copy(bestRatio = best, calls = calls, lateShare = lateShare)
     return when {
-        late && sample.nowMillis - state.decreasedMillis < DECREASE_PAUSE_MILLIS -> next
+        // A call that was sent before the last decrease tells nothing about the limit of now.
+        late && (lateShare < LATE_SHARE_LIMIT || sample.startedMillis < state.decreasedMillis) -> next
         late ->
             next.copy(
                 calls = (calls * DECREASE_FACTOR).coerceIn(1.0, sample.maxRunningCalls.toDouble()),
                 decreasedMillis = sample.nowMillis,
+                lateShare = LATE_SHARE_AFTER_DECREASE,
                 settled = true,
             )
         sample.runningAtStart < calls * 0.75 -> next
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchSettings.kt
@@ -19,6 +19,8 @@
     /** Retries that may happen at once before the budget of [retryBudgetPercent] limits them. */
     public val retryBurst: Int = 32,
     public val maxAttempts: Int = 4,
+    /** Prefill of own calls that may queue at a server while others wait here, where they can still be reordered. */
+    public val maxPrefillQueueMillis: Long = 1_000,
     /** How long a call may wait for the server that holds its prefix while another server has room. */
     public val maxHoldMillis: Long = 2_000,
     /** Candidates within this percentage of the best estimate are chosen among at random. */
--- a/core/src/main/kotlin/lavendertrail/dispatch/DispatchWork.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/DispatchWork.kt
@@ -104,11 +104,20 @@
     fun hasRoom(record: ServerRecord): Boolean {
         val view = view(record.server)
         if (view.isolatedBy != null || view.isDoubtful || view.backoffUntilMillis > nowMillis) return false
-        if (view.running.size >= limitOf(record)) return false
+        if (view.running.size >= limitOf(record) || prefillQueueMillis(record, view) > settings.maxPrefillQueueMillis) return false
         // One call of this node may always run: others' calls must not shut it out for as long as the report stands.
         return view.running.isEmpty() || view.estimatedRunning(nowMillis, settings.staleLoadMillis) < record.maxRunningCalls
     }
 
+    private fun prefillQueueMillis(
+        record: ServerRecord,
+        view: ServerView,
+    ): Double {
+        if (view.pendingPrefillTokens == 0 || !policies.usesCache) return 0.0
+        val model = record.models.firstOrNull()?.let { config.models[it] } ?: return 0.0
+        return model.prefillMillis(view.pendingPrefillTokens)
+    }
+
     fun isEngine(server: ServerId): Boolean = config.servers[server]?.kind == ServerKind.ENGINE
 
     /** Asks an engine for its load, unless it was asked less than [pauseMillis] ago; other servers report none. */
--- a/core/src/main/kotlin/lavendertrail/dispatch/Estimates.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Estimates.kt
@@ -101,7 +101,7 @@
     return tokens * 1_000.0 / model.decodeTokensPerSecond * INTERFERENCE_PER_CALL
 }
 
-/** Cached tokens of live programs that would be displaced by this prompt, at half price: not all come back. */
+/** Recompute of what this prompt would displace, at half price: not all of it comes back. */
 private fun displacedMillis(
     query: PlacementQuery,
     candidate: Candidate,
@@ -110,8 +110,10 @@
     val capacity = candidate.record.cacheCapacityTokens
     val server = candidate.record.server
     val added = query.call.promptTokens + query.call.maxTokens - (query.cachedTokens[server] ?: 0)
-    val excess = query.knownTokens(server) + added - capacity
-    return if (capacity <= 0 || excess <= 0) 0.0 else model.prefillMillis(minOf(excess, added.toLong()).toInt()) / 2
+    if (capacity <= 0 || added <= 0) return 0.0
+    val isFull = candidate.view.cacheFillPercent(candidate.record) >= query.settings.cachePressurePercent
+    val excess = if (isFull) added.toLong() else (query.knownTokens(server) + added - capacity).coerceIn(0, added.toLong())
+    return model.prefillMillis(excess.toInt()) / 2
 }
 
 private fun weightsMillis(
--- a/core/src/main/kotlin/lavendertrail/dispatch/Placement.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Placement.kt
@@ -38,6 +38,8 @@
         holdFor(query, estimates, best) ?: run {
             val slack = maxOf(NEAR_EQUAL_MILLIS, best * query.settings.nearEqualPercent / 100)
             val near = open.filter { it.totalMillis <= best + slack }
+            val warm = near.filter { it.transferFrom == null && it.cachedTokens * 2 >= query.call.promptTokens }
+            if (warm.isNotEmpty()) return@run PlacementDecision.Start(warm.minBy { it.totalMillis })
             PlacementDecision.Start(near[(query.random() * near.size).toInt().coerceAtMost(near.size - 1)])
         }
     }
--- a/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
+++ b/core/src/main/kotlin/lavendertrail/dispatch/Pump.kt
@@ -228,7 +228,8 @@
     if (keepReserved || isolated) changeView(server) { it.copy(isolatedBy = id) }
     val uncached = if (resume || !entry.isModelCall) 0 else (call.promptTokens - estimate.cachedTokens).coerceAtLeast(0)
     val charge = if (resume) 0.0 else expectedServiceMillis(entry, uncached)
-    val attempt = RunningAttempt(server, nowMillis, uncached, charge, view(server).running.size, resume, isolated)
+    val attempt =
+        RunningAttempt(server, nowMillis, uncached, view(server).pendingPrefillTokens, charge, view(server).running.size, resume, isolated)
     val next = entry.copy(phase = Phase.RUNNING, rank = null, attempts = entry.attempts + 1, attempt = attempt, waitsFor = null)
     put(next.copy(triedServers = entry.triedServers + server))
     changeView(server) {
