--- a/node/src/main/kotlin/lavendertrail/api/ApiRefusal.kt
+++ b/node/src/main/kotlin/lavendertrail/api/ApiRefusal.kt
@@ -33,6 +33,16 @@
     return response.header("Retry-After", ((afterMillis + 999) / 1_000).toString())
 }
 
+/** Body for a status with which the HTTP server itself rejects a request. */
+internal fun errorBody(status: Int): String {
+    val message =
+        when (status) {
+            Status.REQUEST_ENTITY_TOO_LARGE.code -> "the body is longer than the limit or could not be read"
+            else -> "the method is not known"
+        }
+    return ApiJson.encode(Refusal.serializer(), refusal(RefusalReason.BAD_REQUEST, message))
+}
+
 /** A call that may have run must never look like one that a proxy may repeat, so it has a status of its own. */
 internal fun statusOf(refusal: Refusal): Status =
     when {
--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -75,8 +75,10 @@
             (Anything means "File to which all events are recorded for a replay; for diagnosis only, it grows without limit."),
         "journal.fsync" to
             (Choice(listOf("interval", "always")) means "Flush journals to disk in intervals, or before each acknowledgement."),
-        "journal.fsyncMillis" to (millis(1, 10_000) means "Interval of flushes."),
-        "journal.historyRetentionDays" to (Range(1L..3_650) means "Time for which histories of ended programs are kept."),
+        "journal.fsyncIntervalMillis" to (millis(1, 10_000) means "Interval of flushes."),
+        "journal.segmentBytes" to (Range(1_048_576L..1_073_741_824) means "Size at which a journal file is closed and the next begun."),
+        "journal.maxOpenFiles" to (Range(8L..100_000) means "Journal files that are kept open."),
+        "historyRetentionDays" to (Range(1L..3_650) means "Time for which histories of ended programs are kept."),
     )
 
 private val reducerTexts: Map<String, SettingText> =
@@ -85,6 +87,13 @@
         "programs.maxWaitingMillis" to (millis(0, HOUR_MILLIS) means "Longest wait for an earlier position."),
         "programs.endedRetentionMillis" to (millis(0, DAY_MILLIS) means "Time for which an ended program stays in memory."),
         "programs.bytesPerToken" to (Range(1L..16) means "Estimate of a token's length for placement."),
+        "programs.maxRecentCalls" to (Range(1L..10_000) means "Finished calls of a program whose texts stay in memory."),
+        "programs.maxRecentTextBytes" to
+            (Range(0L..1_073_741_824) means "Texts of one program that stay in memory; older ones are read from the journal."),
+        "programs.cancelLimitMillis" to (millis(0, HOUR_MILLIS) means "Time that a cancelled call gets to end."),
+        "programs.retryAfterMillis" to (millis(1, HOUR_MILLIS) means "Wait that a refused caller is told."),
+        "dispatch.retryBurst" to (Range(0L..100_000) means "Retries that are allowed beyond the retry budget after a quiet time."),
+        "dispatch.maxAttempts" to (Range(1L..100) means "Attempts of one call."),
         "dispatch.policy" to
             (Choice(listOf("programAware", "roundRobinFifo", "leastLoadFifo", "stickyFifo")) means "Dispatch policy; see docs/policy.md."),
         "dispatch.maxClassWaitMillis" to (millis(0, HOUR_MILLIS) means "Wait after which a call of the lowest class passes all classes."),
--- a/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpServer.kt
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.ServerConnection
+import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -13,11 +14,13 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.core.Uri
 import org.tinylog.kotlin.Logger
 import org.xnio.IoUtils
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
+import java.net.URI
 import java.nio.ByteBuffer
 import java.util.concurrent.ConcurrentHashMap
 
@@ -30,13 +33,18 @@
     override fun close(): Unit = stop()
 }
 
-/** Limits that hold for every request. Worker threads run the handlers; [ChunkStream] bodies are sent without one. */
+/**
+ * Limits that hold for every request. [errorBody] gives the JSON body for a status with which the server itself rejects
+ * a request, because its method is unknown or its body can't be read. Worker threads run the handlers; [ChunkStream]
+ * bodies are sent without one.
+ */
 public data class HttpServerLimits(
     public val maxBodyBytes: Long = 8L * 1024 * 1024,
     public val maxHeaderBytes: Int = 32 * 1024,
     public val readTimeoutMillis: Int = 30_000,
     public val workerThreads: Int = 320,
     public val ioThreads: Int = 2,
+    public val errorBody: (Int) -> String = { "" },
 )
 
 private const val COPY_BUFFER_BYTES = 8 * 1024
@@ -69,7 +77,7 @@
             .setSocketOption(org.xnio.Options.TCP_NODELAY, true)
             .setHandler { exchange ->
                 connections.track(exchange.connection)
-                exchange.receive(handler)
+                exchange.receive(limits, handler)
             }.build()
     undertow.start()
     return object : HttpServer {
@@ -102,23 +110,32 @@
 }
 
 /** Reads the body in the I/O thread, so that a slow sender occupies no worker thread. */
-private fun HttpServerExchange.receive(handler: HttpHandler) {
+private fun HttpServerExchange.receive(
+    limits: HttpServerLimits,
+    handler: HttpHandler,
+) {
     val method = Method.entries.find { it.name == requestMethod.toString() }
     if (method == null) {
-        statusCode = Status.METHOD_NOT_ALLOWED.code
-        endExchange()
+        reject(Status.METHOD_NOT_ALLOWED, limits)
         return
     }
     requestReceiver.receiveFullBytes(
         { exchange, bytes -> exchange.dispatch(Runnable { exchange.answer(handler, method, bytes) }) },
-        { exchange, error -> exchange.rejectBody(error) },
+        { exchange, error ->
+            Logger.debug { "http: request body could not be read: ${error.message}" }
+            exchange.reject(Status.REQUEST_ENTITY_TOO_LARGE, limits)
+        },
     )
 }
 
-private fun HttpServerExchange.rejectBody(error: IOException) {
-    Logger.debug { "http: request body could not be read: ${error.message}" }
-    statusCode = Status.REQUEST_ENTITY_TOO_LARGE.code
-    endExchange()
+private fun HttpServerExchange.reject(
+    status: Status,
+    limits: HttpServerLimits,
+) {
+    statusCode = status.code
+    val body = limits.errorBody(status.code)
+    if (body.isNotEmpty()) responseHeaders.put(Headers.CONTENT_TYPE, "application/json; charset=utf-8")
+    responseSender.send(body)
 }
 
 private fun HttpServerExchange.answer(
@@ -149,13 +166,16 @@
     val headers = requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
     return MemoryRequest(
         method,
-        org.http4k.core.Uri
-            .of(requestPath + query),
+        Uri.of(rawPath + query),
         headers,
         MemoryBody(ByteBuffer.wrap(bytes)),
     )
 }
 
+/** The path as sent: http4k decodes path segments itself, and a second decoding would change a `+` or a `%`. */
+private val HttpServerExchange.rawPath: String
+    get() = if (isHostIncludedInRequestURI) URI.create(requestURI).rawPath else requestURI
+
 private fun HttpServerExchange.send(response: Response) {
     statusCode = response.status.code
     response.headers.forEach { (name, value) ->
