--- /dev/null
+++ b/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentCommand.kt
@@ -0,0 +1,90 @@
+package lavendertrail.experiment
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.serialization.json.Json
+import lavendertrail.dispatch.dispatchPolicyNames
+import java.io.File
+
+private val json = Json { prettyPrint = false }
+
+/** The reference needs hints that a caller of a real node can't give, so that it isn't compared here. */
+private val defaultPolicies = listOf(OWN_POLICY, "roundRobinFifo", "leastLoadFifo", "stickyFifo")
+
+internal data class ExperimentOptions(
+    val preset: ExperimentPreset,
+    val seeds: Int,
+    val load: Double,
+    val timeScale: Double,
+    val windowMillis: Long,
+    val policies: List<String>,
+    val faults: Boolean,
+)
+
+/** `lavendertrailctl experiment`: policies over the same workloads, as tables and plots. */
+public fun experimentCommand(args: Array<String>): Int {
+    val parser = ArgParser("lavendertrailctl experiment")
+    val preset by parser.option(ArgType.Choice(experimentPresets.keys.toList(), { it }), "preset", description = "Owner").required()
+    val seeds by parser.option(ArgType.Int, "seeds", description = "Workloads per policy").default(5)
+    val load by parser.option(ArgType.Double, "load", description = "Offered share of the engines' capacity").default(0.85)
+    val scale by parser.option(ArgType.Double, "time-scale", description = "How much faster than real time").default(5.0)
+    val window by parser.option(ArgType.Int, "window", description = "Seconds of model time in which programs arrive").default(30)
+    val policies by
+        parser.option(ArgType.String, "policies", description = "Names, separated by commas").default(defaultPolicies.joinToString(","))
+    val faults by parser.option(ArgType.Boolean, "faults", description = "Also run $OWN_POLICY under faults").default(false)
+    val out by parser.option(ArgType.String, "out", description = "Folder for tables and plots").default("target/experiment")
+    parser.parse(args)
+    val names = policies.split(",")
+    val unknown = names - dispatchPolicyNames
+    if (unknown.isNotEmpty() || seeds < 1 || load <= 0 || scale <= 0 || window < 1) {
+        System.err.println("experiment: unknown policies $unknown, or not positive: seeds $seeds, load $load, scale $scale, window $window")
+        return 2
+    }
+    val options = ExperimentOptions(experimentPresets.getValue(preset), seeds, load, scale, window * 1_000L, names, faults)
+    val report = runAll(options) { System.err.println("experiment: $it") }
+    val folder = File(out).apply { mkdirs() }
+    folder.resolve("experiment.json").writeText(json.encodeToString(ExperimentReport.serializer(), report) + "\n")
+    folder.resolve("experiment.md").writeText(report.toMarkdown())
+    println(report.toMarkdown())
+    report.plot(folder)
+    return 0
+}
+
+private fun runAll(
+    options: ExperimentOptions,
+    log: (String) -> Unit,
+): ExperimentReport {
+    val shape = options.preset.shape(options.preset.platform(1, options.timeScale))
+    val workloads = (1L..options.seeds).associateWith { workloadOf(shape, it, options.load, options.windowMillis) }
+
+    fun runs(
+        policy: String,
+        fault: ExperimentFault,
+        seeds: Collection<Long>,
+    ): List<RunFigures> =
+        seeds.map { seed ->
+            val begin = System.nanoTime()
+            runExperiment(options.preset, workloads.getValue(seed), RunOptions(policy, seed, options.timeScale, fault)).also {
+                val p95Millis = percentile(it.latencyMillis.sorted(), 95)
+                val tookMillis = (System.nanoTime() - begin) / 1_000_000
+                log("$policy, seed $seed, fault ${fault.title}: p95 $p95Millis ms, wasted ${it.cache.wastedShare}, ran $tookMillis ms")
+            }
+        }
+
+    val rows = options.policies.map { rowOf(it, runs(it, ExperimentFault.NONE, workloads.keys)) }
+    val faultRows =
+        if (options.faults) ExperimentFault.entries.map { rowOf(it.title, runs(OWN_POLICY, it, workloads.keys)) } else emptyList()
+    val loads = workloads.values.map { it.offeredLoad }
+    return ExperimentReport(
+        preset = options.preset.name,
+        seeds = options.seeds,
+        load = options.load,
+        timeScale = options.timeScale,
+        windowSeconds = options.windowMillis / 1_000.0,
+        offeredLoad = loads.first().keys.associateWith { model -> loads.map { it.getValue(model) }.average() },
+        policies = rows,
+        faults = faultRows,
+    )
+}
