List dispatch.maxPrefillQueueMillis among the settings

The check of the settings page failed, since the new setting had no meaning there. It is added and the page is generated again; SettingsCatalogueTest and ApiContractTest pass. ApiContractTest failed once before with a broken pipe.

--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -94,6 +94,7 @@
         "programs.retryAfterMillis" to (millis(1, HOUR_MILLIS) means "Wait that a refused caller is told."),
         "dispatch.retryBurst" to (Range(0L..100_000) means "Retries that are allowed beyond the retry budget after a quiet time."),
         "dispatch.maxAttempts" to (Range(1L..100) means "Attempts of one call."),
+        "dispatch.maxPrefillQueueMillis" to (millis(1, HOUR_MILLIS) means "Prefill of own calls that may queue at one server."),
         "dispatch.maxHoldMillis" to
             (millis(0, HOUR_MILLIS) means "Longest wait of a call for the server that holds its prefix while another has room."),
         "dispatch.nearEqualPercent" to (Range(0L..100) means "Candidates this close to the best estimate are chosen among at random."),
