--- /dev/null
+++ b/ctl/src/main/kotlin/lavendertrail/ctl/JsonDiff.kt
@@ -0,0 +1,34 @@
+package lavendertrail.ctl
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+
+/** One place where two JSON documents differ; a side is null where it has nothing there. */
+@Serializable
+internal data class JsonDifference(
+    val path: String,
+    val left: JsonElement?,
+    val right: JsonElement?,
+) {
+    override fun toString(): String = "$path: ${left ?: "absent"} -> ${right ?: "absent"}"
+}
+
+/** Differing leaves in order of their paths. Arrays are compared by index. */
+internal fun jsonDiff(
+    left: JsonElement?,
+    right: JsonElement?,
+    path: String = "$",
+): List<JsonDifference> =
+    when {
+        left == right -> emptyList()
+
+        left is JsonObject && right is JsonObject ->
+            (left.keys + right.keys).sorted().flatMap { jsonDiff(left[it], right[it], "$path.$it") }
+
+        left is JsonArray && right is JsonArray ->
+            (0 until maxOf(left.size, right.size)).flatMap { jsonDiff(left.getOrNull(it), right.getOrNull(it), "$path[$it]") }
+
+        else -> listOf(JsonDifference(path, left, right))
+    }
--- a/node/src/main/kotlin/lavendertrail/node/Commands.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Commands.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import lavendertrail.dev.DevCluster
+import lavendertrail.dev.DevConsole
 import lavendertrail.dev.DevOptions
 import lavendertrail.dev.MainJob
 import lavendertrail.settings.NodeSettings
@@ -157,6 +158,7 @@
         "  curl -s http://$address/v1/programs -H 'Authorization: Bearer barakah-desk-token' " +
             "-d '{\"account\":\"barakah-desk\",\"assistant\":\"permit-renewal\"}'",
     )
-    CountDownLatch(1).await()
+    println("orders on standard input: kill N, stop N, start N, replace N, quit")
+    if (!DevConsole(cluster, ::println).serve(System.`in`.bufferedReader())) CountDownLatch(1).await()
     return EXIT_OK
 }
