--- a/ctl/src/main/kotlin/lavendertrail/ctl/Main.kt
+++ b/ctl/src/main/kotlin/lavendertrail/ctl/Main.kt
@@ -1,5 +1,7 @@
 package lavendertrail.ctl
 
+import lavendertrail.experiment.experimentCommand
+import lavendertrail.load.loadCommand
 import kotlin.system.exitProcess
 
 /** Entry point of `bin/lavendertrailctl`. */
@@ -8,7 +10,11 @@
 }
 
 /** Commands that parse their own arguments and return their exit code. */
-private val foreignCommands: Map<String, (Array<String>) -> Int> = mapOf()
+private val foreignCommands: Map<String, (Array<String>) -> Int> =
+    mapOf(
+        "load" to ::loadCommand,
+        "experiment" to ::experimentCommand,
+    )
 
 private fun commands(): List<Command> = configCommands() + billCommands() + programCommands() + fleetCommands() + listOf(CapacityCommand())
 
