--- a/node/src/main/kotlin/lavendertrail/api/ConfigStore.kt
+++ b/node/src/main/kotlin/lavendertrail/api/ConfigStore.kt
@@ -132,15 +132,18 @@
         return SwapAnswer(won = current?.value == after?.toString(), current)
     }
 
-    /** Why nodes would reject [record]: it is applied to an empty state by the same code that nodes use. */
+    /**
+     * Why nodes would reject [record]: it is applied by the same code that nodes use, to the configuration in force,
+     * since a record may name another one.
+     */
     private fun problem(
         kind: String,
         name: String,
         record: JsonObject,
     ): String? {
         val current = state()
-        val received = ConfigRecordsReceived(listOf(StoredRecord(kind, name, record.toString(), revision = 1)), 1, "check")
-        val applied = reduce(NodeState(current.self, current.settings), TimedEvent(clock(), 0, received)).state
+        val received = ConfigRecordsReceived(listOf(StoredRecord(kind, name, record.toString(), Long.MAX_VALUE)), Long.MAX_VALUE, "check")
+        val applied = reduce(current, TimedEvent(clock(), 0, received)).state
         return applied.config.rejected["$kind/$name"]
     }
 
