Send a caller no text twice after its stream's owner node is lost

Cause: after a takeover the entry node asked the next owner for the text from the caller's offset, but the new owner's stream begins empty, so the offset was cut to 0 and the caller got a rewind to 0 and the whole text again. Where the new owner's text came from another run and was already longer than the offset, its rest was appended to the text of the first run unnoticed.

Change: the entry node keeps what it passed on, asks each next owner for the text from the caller's own offset, drops what agrees and rewinds only to the first byte that differs. A stored outcome after a retry is compared the same way.

Cost: the text of open streams is kept at the entry node, and is sent between nodes once more after a takeover.

--- a/node/src/main/kotlin/lavendertrail/node/EntryRouter.kt
+++ b/node/src/main/kotlin/lavendertrail/node/EntryRouter.kt
@@ -15,7 +15,8 @@
 /**
  * Takes a request to the node that owns its program. A node that isn't the owner any more, or a connection that broke,
  * is no answer: the owner is looked up again and the same position submitted again, within the request's deadline.
- * That is safe because a position runs once, and text that was passed on before isn't asked for again.
+ * That is safe because a position runs once. Text is asked for from the caller's own offset again, so that text of another
+ * run is noticed; see [PassedText].
  */
 internal class EntryRouter(
     private val self: NodeId,
@@ -32,20 +33,21 @@
         deadlineMillis: Long,
         onText: (SubmitReply.Text) -> Unit = {},
     ): SubmitReply {
-        var passedBytes = (request as? SubmitRequest.Call)?.fromByte ?: 0
+        val base = (request as? SubmitRequest.Call)?.fromByte ?: 0
+        val passed = PassedText(base)
+        val pass = { text: SubmitReply.Text -> passed.fresh(text)?.let(onText) ?: Unit }
         var tries = 0
         var left = false
         while (true) {
             val leftMillis = deadlineMillis + GRACE_MILLIS - clock()
             val target = ownerNode(request)
-            val outcome =
-                route(target, request.from(passedBytes), leftMillis) { text ->
-                    onText(text)
-                    passedBytes = text.offsetBytes + text.text.toByteArray().size
-                }
+            val outcome = route(target, request, leftMillis, pass)
             val reply = outcome.reply
             left = left || outcome.left
-            if (reply != null && !reply.isRetryable()) return reply
+            if (reply != null && !reply.isRetryable()) {
+                if (tries > 0) reply.answerFrom(base)?.let(pass)
+                return reply
+            }
             val delayMillis = backoffMillis(tries++)
             if (clock() + delayMillis > deadlineMillis) return reply ?: SubmitReply.Refused(unreachable(target, left))
             Thread.sleep(delayMillis)
@@ -142,7 +144,11 @@
     return ThreadLocalRandom.current().nextLong(ceiling / 2, ceiling + 1)
 }
 
-private fun SubmitRequest.from(byte: Long): SubmitRequest = if (this is SubmitRequest.Call) copy(fromByte = byte) else this
+/** A stored outcome comes without its stream, and may be of another run than the text that was passed on before. */
+private fun SubmitReply.answerFrom(base: Long): SubmitReply.Text? {
+    val bytes = ((this as? SubmitReply.Call)?.result as? CallResult.Answered)?.text?.toByteArray() ?: return null
+    return if (base >= bytes.size) null else SubmitReply.Text(base, bytes.decodeToString(base.toInt(), bytes.size))
+}
 
 /** Reasons that pass once the partition has its next owner. Trying again is safe whatever the outcome, because a position runs once. */
 private fun SubmitReply.isRetryable(): Boolean {
