--- /dev/null
+++ b/node/src/test/kotlin/lavendertrail/dev/NodeProcesses.kt
@@ -0,0 +1,171 @@
+package lavendertrail.dev
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import lavendertrail.history.sha256Hex
+import lavendertrail.http.HttpClientLimits
+import lavendertrail.http.httpClient
+import lavendertrail.membership.MembershipSettings
+import lavendertrail.model.FailureDomain
+import lavendertrail.model.PartitionId
+import lavendertrail.model.ProgramId
+import lavendertrail.model.RegionId
+import lavendertrail.settings.ApiSettings
+import lavendertrail.settings.NodeSettings
+import lavendertrail.settings.OperatorToken
+import lavendertrail.settings.PeerSettings
+import lavendertrail.settings.PlatformSettings
+import lavendertrail.settings.TimingSettings
+import lavendertrail.standins.StandinPlatform
+import lavendertrail.standins.standinPlatform
+import org.http4k.core.Method
+import org.http4k.core.Request
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.ExperimentalPathApi
+import kotlin.io.path.deleteRecursively
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import lavendertrail.standins.PlatformSettings as StandinSettings
+
+/** Nodes as processes of their own, as they run on hosts, with the stand-ins in the test's process. */
+internal class NodeProcesses(
+    private val count: Int,
+    standins: StandinSettings,
+    private val partitions: Int = 24,
+) : AutoCloseable {
+    private val folder: Path = Files.createTempDirectory("lavendertrail-processes")
+    private val processes = ConcurrentHashMap<Int, Process>()
+    private val frozen: MutableSet<Int> = ConcurrentHashMap.newKeySet()
+    private val http = httpClient(HttpClientLimits(connectMillis = 500, idleMillis = 2_000))
+    val platform: StandinPlatform = standinPlatform(standins.inOneRegion())
+    private val settings = (0 until count).map(::settingsOf)
+
+    init {
+        platform.writeRecords()
+        settings.forEachIndexed { index, node ->
+            file(index).writeText(Json.encodeToString(NodeSettings.serializer(), node))
+        }
+    }
+
+    /** API addresses of the nodes that a balancer would use: neither killed nor frozen. */
+    fun addresses(): List<String> =
+        processes.keys
+            .filter { it !in frozen }
+            .sorted()
+            .map(::address)
+
+    fun address(index: Int): String = "${settings[index].api.ip}:${settings[index].api.port}"
+
+    fun start(index: Int) {
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
+        val options = listOf("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:ActiveProcessorCount=2")
+        val command = listOf(java) + options + listOf("-cp", classPath, "lavendertrail.node.MainKt", "run", file(index).toString())
+        val output = ProcessBuilder.Redirect.appendTo(log(index).toFile())
+        processes[index] =
+            ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
+    }
+
+    /** Ends the process as a failing host does, without any chance to clean up. */
+    fun kill(index: Int) {
+        val process = processes.remove(index) ?: return
+        frozen.remove(index)
+        process.destroyForcibly().waitFor(KILL_LIMIT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    fun freeze(index: Int) {
+        frozen.add(index)
+        signal(index, "-STOP")
+    }
+
+    fun wake(index: Int) {
+        signal(index, "-CONT")
+        frozen.remove(index)
+    }
+
+    /** Node that the partition record names as owner, or null while the record can't be read. */
+    fun ownerOf(program: String): Int? = ownerOf(ProgramId(program).partition)
+
+    private fun ownerOf(partition: PartitionId): Int? {
+        val stored = platform.keyValue.get("lavendertrail/partitions/${partition.index}").getOrElse { null } ?: return null
+        val name =
+            Json
+                .parseToJsonElement(stored.value)
+                .jsonObject["ownerNode"]
+                ?.jsonPrimitive
+                ?.contentOrNull
+        return settings.indexOfFirst { it.node == name }.takeIf { it >= 0 }
+    }
+
+    /** True once every running node is ready and every partition is owned by a running node, with no node left out. */
+    fun isSettled(): Boolean {
+        val live = processes.keys.filter { it !in frozen }.toSet()
+        if (!live.all(::isReady)) return false
+        return (0 until partitions).map { ownerOf(PartitionId(it)) }.toSet() == live
+    }
+
+    fun logs(): String = (0 until count).joinToString("\n") { "--- node $it\n${log(it).readTail()}" }
+
+    @OptIn(ExperimentalPathApi::class)
+    override fun close() {
+        processes.keys.toList().forEach(::kill)
+        platform.close()
+        folder.deleteRecursively()
+    }
+
+    private fun isReady(index: Int): Boolean =
+        try {
+            http(Request(Method.GET, "http://${address(index)}/readyz")).use { it.status.code == 200 }
+        } catch (_: java.io.IOException) {
+            false
+        }
+
+    private fun signal(
+        index: Int,
+        name: String,
+    ) {
+        val process = checkNotNull(processes[index]) { "node $index is not running" }
+        check(ProcessBuilder("kill", name, process.pid().toString()).start().waitFor() == 0) { "kill $name failed for node $index" }
+    }
+
+    private fun file(index: Int): Path = folder.resolve("node-$index.json")
+
+    private fun log(index: Int): Path = folder.resolve("node-$index.log")
+
+    private fun settingsOf(index: Int): NodeSettings =
+        NodeSettings(
+            node = "node-$index",
+            region = REGION,
+            failureDomain = DOMAINS[index % DOMAINS.size],
+            dataFolder = folder.resolve("data-$index").also { Files.createDirectories(it) }.toString(),
+            api = ApiSettings(LOOPBACK, freePort(), allowUnauthenticated = true),
+            peer = PeerSettings(LOOPBACK, freePort()),
+            platform = PlatformSettings(platform.keyValueAddress, platform.hostListAddress, platform.weightStoreAddress),
+            operators = listOf(OperatorToken("test", sha256Hex("test-operator"))),
+            timing = TimingSettings(leaseTtlMillis = LEASE_MILLIS, leaseRenewMillis = LEASE_MILLIS / 3),
+            membership = MembershipSettings(partitionsInUse = partitions, startupSettleMillis = 300, rebalanceMillis = 1_000),
+        )
+
+    private fun StandinSettings.inOneRegion(): StandinSettings =
+        copy(owners = owners.map { it.copy(region = RegionId(REGION), failureDomains = DOMAINS.map(::FailureDomain)) })
+
+    companion object {
+        const val LEASE_MILLIS = 3_000L
+        private const val REGION = "dev"
+        private const val LOOPBACK = "127.0.0.1"
+        private const val KILL_LIMIT_SECONDS = 10L
+        private val DOMAINS = listOf("dev-a", "dev-b", "dev-c")
+
+        private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    }
+}
+
+private fun Path.readTail(): String = if (Files.exists(this)) readText().lines().takeLast(40).joinToString("\n") else ""
