Choose the node to kill by the record at the time of the kill

Cause: a partition that is handed over has a record without an owner for a moment, on which the run of many kills stopped before its first kill; and the owner could have moved to the caller's node while the stream began.

Change: the test waits for an owner and reads it again just before the kill.

Conclusion: the test's choice no longer depends on the rebalance after the start.

--- a/node/src/test/kotlin/lavendertrail/dev/NodeProcessTest.kt
+++ b/node/src/test/kotlin/lavendertrail/dev/NodeProcessTest.kt
@@ -107,15 +107,24 @@
         nodes: NodeProcesses,
         views: MutableList<CallerView>,
     ): Pair<Int, Long> {
-        val view = SteadyCaller(nodes::addresses).open().also(views::add)
-        val owner = checkNotNull(nodes.ownerOf(view.program))
-        val entry = nodes.addresses().filter { it != nodes.address(owner) }.random(Random(views.size))
-        val stream = ProbedStream(entry, view)
-        waitFor("text of the stream", 20_000) { stream.pieces >= 10 }
-        val killNanos = System.nanoTime()
-        nodes.kill(owner)
-        stream.awaitEnd()
-        return owner to stream.goOnMillis(killNanos)
+        while (true) {
+            val view = SteadyCaller(nodes::addresses).open().also(views::add)
+            val entry = nodes.addresses().filter { it != nodes.address(nodes.awaitOwner(view)) }.random(Random(views.size))
+            val stream = ProbedStream(entry, view)
+            waitFor("text of the stream", 20_000) { stream.pieces >= 10 }
+            val owner = nodes.awaitOwner(view)
+            val killNanos = System.nanoTime()
+            // The partition may have moved to the caller's node meanwhile, whose loss would cut the caller's connection.
+            if (nodes.address(owner) != entry) nodes.kill(owner)
+            stream.awaitEnd()
+            if (nodes.address(owner) != entry) return owner to stream.goOnMillis(killNanos)
+        }
+    }
+
+    /** While a partition is handed over its record names no owner. */
+    private fun NodeProcesses.awaitOwner(view: CallerView): Int {
+        waitFor("owner of ${view.program}") { ownerOf(view.program) != null }
+        return ownerOf(view.program) ?: awaitOwner(view)
     }
 
     /** Freezes an owner past its lease; meanwhile others take over and the key-value service fails for a while. */
@@ -126,7 +135,7 @@
         val caller = SteadyCaller(nodes::addresses)
         val view = caller.open().also(views::add)
         repeat(2) { caller.turn(view) }
-        val owner = checkNotNull(nodes.ownerOf(view.program))
+        val owner = nodes.awaitOwner(view)
         val frozenAt = System.nanoTime()
         nodes.freeze(owner)
         waitFor("takeover from the frozen node", 30_000) { nodes.ownerOf(view.program).let { it != null && it != owner } }
