--- a/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentReport.kt
+++ b/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentReport.kt
@@ -102,7 +102,7 @@
     val latency = baselines.minBy { it.p95Seconds }
     val wasted = baselines.minBy { it.wastedPercent }
     appendLine()
-    appendLine("$OWN_POLICY against the best baseline: p95 ${ratio(own.p95Seconds, latency.p95Seconds)} of ${latency.name} (target 0.50), ")
+    appendLine("$OWN_POLICY against the best baseline: p95 ${ratio(own.p95Seconds, latency.p95Seconds)} of ${latency.name} (target 0.50),")
     appendLine("wasted cache ${ratio(own.wastedPercent, wasted.wastedPercent)} of ${wasted.name} (target 0.25).")
 }
 
--- a/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentRun.kt
+++ b/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentRun.kt
@@ -5,6 +5,7 @@
 import lavendertrail.dev.DevOptions
 import lavendertrail.dispatch.DispatchSettings
 import lavendertrail.http.httpClient
+import lavendertrail.load.liftAccountLimits
 import lavendertrail.settings.NodeSettings
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -46,6 +47,7 @@
     val platform = options.fault.adapt(preset.platform(options.seed, options.timeScale))
     val cluster = DevCluster(DevOptions(nodes = 3, platform = platform, adapt = { it.scaled(options) }))
     return cluster.use {
+        it.liftAccountLimits()
         it.start()
         ClusterRun(it, workload, options).run()
     }
--- a/ctl/src/main/kotlin/lavendertrail/load/LoadRun.kt
+++ b/ctl/src/main/kotlin/lavendertrail/load/LoadRun.kt
@@ -47,6 +47,7 @@
 
     fun run(): LoadReport =
         DevCluster(DevOptions(nodes = options.nodes, platform = platform(options))).use { cluster ->
+            cluster.liftAccountLimits()
             cluster.start()
             val threads = Executors.newFixedThreadPool(options.streams)
             for (round in 0..options.rounds) {
