Describe the limit of the prefill queue

Cause: dispatch gained a setting without a meaning, which the catalogue's test found. Seen: settings tests pass.

--- a/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
+++ b/node/src/main/kotlin/lavendertrail/settings/SettingTexts.kt
@@ -96,6 +96,8 @@
         "dispatch.maxAttempts" to (Range(1L..100) means "Attempts of one call."),
         "dispatch.maxHoldMillis" to
             (millis(0, HOUR_MILLIS) means "Longest wait of a call for the server that holds its prefix while another has room."),
+        "dispatch.maxPrefillQueueMillis" to
+            (millis(0, HOUR_MILLIS) means "Longest queue of prompts, by estimate, up to which a server gets more calls."),
         "dispatch.nearEqualPercent" to (Range(0L..100) means "Candidates this close to the best estimate are chosen among at random."),
         "dispatch.nearDeadlineMillis" to
             (millis(0, DAY_MILLIS) means "A call whose program's deadline is nearer goes before others of its account and class."),
