--- a/ctl/src/main/kotlin/lavendertrail/capacity/DecisionMeasurements.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/DecisionMeasurements.kt
@@ -82,11 +82,15 @@
     return driver
 }
 
+/**
+ * Live bytes of what [build] returns. It is built in a thread of its own and measured by letting go of it, because stale
+ * references in the frames of an earlier measurement made differences negative.
+ */
 private fun heapOf(build: () -> Any): Double {
-    val before = liveHeapBytes()
-    val held = build()
-    val after = liveHeapBytes()
-    java.lang.ref.Reference
-        .reachabilityFence(held)
-    return (after - before).toDouble()
+    val holder = arrayOfNulls<Any>(1)
+    Thread { holder[0] = build() }.apply { start() }.join()
+    val withState = liveHeapBytes()
+    checkNotNull(holder[0]) { "the state to measure was not built" }
+    holder[0] = null
+    return (withState - liveHeapBytes()).toDouble()
 }
