Warm up before an experiment and change the order of policies

Cause: the first run of a process is slowed by code that isn't compiled; stickyFifo as the first run had a p95 of 56 s and 33 s two runs later. programAware was always first. Change: one run that isn't counted, and each seed starts with another policy.

--- a/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentCommand.kt
+++ b/ctl/src/main/kotlin/lavendertrail/experiment/ExperimentCommand.kt
@@ -73,7 +73,16 @@
             }
         }
 
-    val rows = options.policies.map { rowOf(it, runs(it, ExperimentFault.NONE, workloads.keys)) }
+    // The first run of a process is slower than the others until its code is compiled, so that it isn't counted.
+    runs(options.policies.last(), ExperimentFault.NONE, listOf(1L))
+    val runsOfPolicy = options.policies.associateWith { mutableListOf<RunFigures>() }
+    workloads.keys.forEach { seed ->
+        // Each seed starts with another policy, so that a slow moment of the host doesn't always meet the same one.
+        val turn = (seed % options.policies.size).toInt()
+        val inTurn = options.policies.drop(turn) + options.policies.take(turn)
+        inTurn.forEach { runsOfPolicy.getValue(it) += runs(it, ExperimentFault.NONE, listOf(seed)) }
+    }
+    val rows = options.policies.map { rowOf(it, runsOfPolicy.getValue(it)) }
     val faultRows =
         if (options.faults) ExperimentFault.entries.map { rowOf(it.title, runs(OWN_POLICY, it, workloads.keys)) } else emptyList()
     val loads = workloads.values.map { it.offeredLoad }
