--- a/ctl/src/main/kotlin/lavendertrail/ctl/ProgramCommands.kt
+++ b/ctl/src/main/kotlin/lavendertrail/ctl/ProgramCommands.kt
@@ -102,7 +102,12 @@
 private class Settle : NodeCommand("settle", "State whether a call that may have run did run") {
     private val program by parser.argument(Word, "PROGRAM", "Program id")
     private val position by parser.argument(ArgType.Int, "POSITION", "Position of the call")
-    private val outcome by parser.option(ArgType.String, "outcome", description = "run or notRun, as the service's own books say").required()
+    private val outcome by parser
+        .option(
+            ArgType.String,
+            "outcome",
+            description = "run or notRun, as the service's own books say",
+        ).required()
     private val promptTokens by parser.option(ArgType.Int, "prompt-tokens", description = "Prompt tokens used").default(0)
     private val generatedTokens by parser.option(ArgType.Int, "generated-tokens", description = "Generated tokens used").default(0)
     private val toolCalls by parser.option(ArgType.Int, "tool-calls", description = "Tool calls made").default(0)
@@ -112,6 +117,7 @@
         console: Console,
         client: AdminClient,
     ) {
+        if (outcome !in listOf("run", "notRun")) throw usageError("--outcome must be run or notRun, was '$outcome'")
         if (listOf(
                 position,
                 promptTokens,
