Hold the time to go on after a kill against its goal

Cause: the process test printed the time without a bound.

Change: the run of many kills fails above 3 s at the 95th percentile; the single kill of a normal run has 3 times that, because its machine is shared.

--- a/node/src/test/kotlin/lavendertrail/dev/NodeProcessTest.kt
+++ b/node/src/test/kotlin/lavendertrail/dev/NodeProcessTest.kt
@@ -55,8 +55,9 @@
                 val load = Load(nodes, callers = 4)
                 val views = mutableListOf<CallerView>()
                 load.use {
-                    val killed = killInStream(nodes, views)
-                    println("process test: stream went on ${killed.second} ms after the kill of its owner node")
+                    val (_, millis) = killInStream(nodes, views)
+                    println("process test: stream went on $millis ms after the kill of its owner node")
+                    assertTrue(millis in 0..GOAL_MILLIS * ALLOWANCE, "the stream went on after $millis ms")
                     freezeOwner(nodes, views)
                 }
                 val all = views + load.views
@@ -95,10 +96,10 @@
                 }
             }
             val sorted = times.sorted()
-            println(
-                "kills: $kills, median ${sorted[kills / 2]} ms, p95 ${sorted[(kills * 95 + 99) / 100 - 1]} ms, longest ${sorted.last()} ms",
-            )
+            val p95 = sorted[(kills * 95 + 99) / 100 - 1]
+            println("kills: $kills, median ${sorted[kills / 2]} ms, p95 $p95 ms, longest ${sorted.last()} ms")
             assertEquals(emptyList(), WholeCheck(nodes.platform, views + load.views, SteadyCaller(nodes::addresses).api).problems())
+            assertTrue(p95 <= GOAL_MILLIS, "p95 is $p95 ms")
         }
     }
 
@@ -148,4 +149,12 @@
         val atFormerOwner = SteadyCaller({ listOf(nodes.address(owner)) })
         repeat(2) { atFormerOwner.turn(view) }
     }
+
+    private companion object {
+        /** Time to go on after the loss of an owner node, at the 95th percentile. */
+        const val GOAL_MILLIS = 3_000L
+
+        /** For the single kill of a test run on a shared machine; the run of many kills has none. */
+        const val ALLOWANCE = 3
+    }
 }
