Discard the first reading of the heap measurement

Cause: the first point of 'live heap of the state' was 11.3 MB at 100 programs and 2.8 MB at 200: frames of the measurement before still held its state. Change: one reading is made and dropped first. Conclusion: the slope of memory per program can be used then.

--- a/ctl/src/main/kotlin/lavendertrail/capacity/DecisionMeasurements.kt
+++ b/ctl/src/main/kotlin/lavendertrail/capacity/DecisionMeasurements.kt
@@ -50,8 +50,10 @@
 }
 
 /** Live heap of a node's state over programs, turns, backend servers and configuration records. */
-internal fun measureHeap(): List<Measurement> =
-    listOf(
+internal fun measureHeap(): List<Measurement> {
+    // The first reading also sees what earlier measurements left in the frames of this thread.
+    heapOf { driverWith(1, 1) }
+    return listOf(
         measurement("live heap of the state", "programs of 10 turns", "bytes", heapOver(listOf(100, 200, 400, 800), 10)),
         measurement(
             "live heap of the state, 50 programs",
@@ -66,6 +68,7 @@
             listOf(150, 300, 600, 1_200).map { servers -> servers to heapOf { DecisionDriver(servers) } },
         ),
     )
+}
 
 private fun heapOver(
     programs: List<Int>,
