Pause between the calls of the load run

Cause: the added median was 12 ms three times in a row on an idle machine. The times inside the owner node showed 1.0 ms from submission to the durable start and 0 ms to dispatch; the rest was at the engine. Calls followed the last step of the one before: through a node at the same engine, where they waited almost a whole step, and direct at another engine, where they waited half of one. Ruled out: forwarding (57.3 against 56.7 ms at the owner node), the append. Change: each call starts after a random pause of up to two engine steps, direct and through a node alike.

--- a/ctl/src/main/kotlin/lavendertrail/load/LoadRun.kt
+++ b/ctl/src/main/kotlin/lavendertrail/load/LoadRun.kt
@@ -104,6 +104,7 @@
         // Spread over one answer, since 200 calls in the same millisecond would measure the burst instead of the node.
         Thread.sleep(random.nextLong(SPREAD_MILLIS))
         repeat(options.callsPerRound) { position ->
+            Thread.sleep(random.nextLong(THINK_MILLIS))
             val message = Message("user", "[answer-tokens=${options.answerTokens}] round $round stream $stream call $position $FILLER")
             history += message
             val address = addresses[(stream + position) % addresses.size]
@@ -163,6 +164,12 @@
         const val MODEL = "permit-desk"
         const val SPREAD_MILLIS = 1_800L
         const val TARGET_MILLIS = 2.0
+
+        /**
+         * Two steps of an engine. Without this pause a call follows the last step of the one before: through a node at the
+         * same engine, where it then waits for almost a whole step, and direct at another one, where it waits for half.
+         */
+        const val THINK_MILLIS = 59L
         const val ENGINES = 8
         val FILLER = "Check vessel, berth, tide and fee. ".repeat(20)
 
