Reclaim journals of programs past their retention time

Cause: historyRetentionDays was read and nothing acted on it, so disks only filled. Change: each node reclaims the journals of its active partitions hourly. Conclusion: disk is bounded by load and retention; copies left behind when a partition moves are still kept.

--- a/node/src/main/kotlin/lavendertrail/node/Node.kt
+++ b/node/src/main/kotlin/lavendertrail/node/Node.kt
@@ -121,6 +121,7 @@
         watch.start()
         polls.start(settings.timing.hostListPollMillis, settings.timing.cacheEventPollMillis)
         background.every(SWEEP_MILLIS, "sweep") { sweep() }
+        background.every(RECLAIM_MILLIS, "journal reclaim") { reclaimJournals() }
         metrics.bindRunner(runner)
         metrics.bindState(runner)
         metrics.bindService(service)
@@ -207,6 +208,15 @@
         peers.sweep()
     }
 
+    /** Frees the disk space of programs that ended before the retention time. */
+    private fun reclaimJournals() {
+        val endedBeforeMillis = System.currentTimeMillis() - TimeUnit.DAYS.toMillis(settings.historyRetentionDays.toLong())
+        val active =
+            runner.state.membership.owned
+                .filterValues { it.isActive }
+        active.keys.forEach { partition -> background.run("reclaim of $partition") { replicator.reclaim(partition, endedBeforeMillis) } }
+    }
+
     private fun peerLimits(): PeerLimits = PeerLimits(probeMillis = settings.membership.probeTimeoutMillis)
 
     private fun selfRecord(): NodeRecord =
@@ -222,6 +232,9 @@
 
     private companion object {
         const val SWEEP_MILLIS = 5_000L
+
+        /** A reclaim reads whole journals, and the retention time is counted in days. */
+        const val RECLAIM_MILLIS = 3_600_000L
         const val KEEP_TEXT_MILLIS = 60_000L
         const val DRAIN_POLL_MILLIS = 20L
     }
