Send a session's turn to the server of its last turn

Cause: turns of one session arrive through different entry hosts, and each knew only what it had sent itself.

Ruled out: asking the engines for what they keep (priced as probes), and placement by a hash of the session alone, which can't follow the load.

Change: the record that settles a turn's budget names its server, and the reservation of the session's next turn returns it, so no call is added.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -12,6 +12,8 @@
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val isReserved: Boolean = false,
+    /** The server of the session's last turn. */
+    val recentServerId: String? = null,
     val serverId: String? = null,
     val sentAtMillis: Long = 0,
     val triedServers: Set<String> = emptySet(),
--- a/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
@@ -17,6 +17,7 @@
     val request: CallerRequest,
     val isEngine: Boolean,
     val selfDomain: String,
+    val recentServerId: String?,
     val meanServiceMillis: Double,
     val nowMillis: Long,
     val settings: ServingSettings,
@@ -42,12 +43,19 @@
     val occupied = state.occupancy(nowMillis, settings.loadHalfLifeMillis)
     val waitMillis = (occupied - state.slots + 1).coerceAtLeast(0.0) * meanServiceMillis / state.slots
     val busyMillis = occupied / state.slots * meanServiceMillis * BUSY_SHARE
-    val unreadTokens = if (isEngine) request.promptParts.sumOf { it.tokens } - state.cache.cachedTokens(request.promptParts) else 0
+    val unreadTokens = if (isEngine) request.promptParts.sumOf { it.tokens } - cachedTokens(state) else 0
     val wayMillis = if (state.server.failureDomain.value == selfDomain) 0.0 else settings.remoteDomainCostMillis
     val preference = preferenceOf(request, state.server.id) * PREFERENCE_MILLIS
     return waitMillis + busyMillis + unreadTokens / settings.prefillTokensPerMilli + wayMillis + preference
 }
 
+/** What this process sent to the server, and all but the newest part where the session's last turn ran there. */
+private fun PlacementInput.cachedTokens(state: ServerState): Int {
+    val parts = request.promptParts
+    val known = state.cache.cachedTokens(parts)
+    return if (state.server.id == recentServerId) maxOf(known, parts.dropLast(1).sumOf { it.tokens }) else known
+}
+
 // Running requests share an engine's steps, so a full batch slows each of them by about a tenth to a quarter.
 private const val BUSY_SHARE = 0.2
 
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -77,7 +77,7 @@
     val program = request.programId ?: return null
     val budgetTokens = request.tokenBudget ?: return null
     if (pending.route.kind != RequestKind.STREAM) return null
-    return ReserveTokens(pending.key, program, request.attemptId, request.maxOutputTokens, budgetTokens, limitMillis)
+    return ReserveTokens(pending.key, program, request.sessionId, request.attemptId, request.maxOutputTokens, budgetTokens, limitMillis)
 }
 
 internal fun ServingWork.historyLoaded(event: HistoryLoaded) {
@@ -96,7 +96,7 @@
     val pending = request(event.key) ?: return
     when (event.result) {
         ReservationResult.RESERVED -> {
-            put(pending.copy(awaitsBudget = false, isReserved = true))
+            put(pending.copy(awaitsBudget = false, isReserved = true, recentServerId = event.recentServerId))
             place(event.key)
         }
         ReservationResult.SPENT -> reject(pending, RejectReason.BUDGET_SPENT)
@@ -168,6 +168,7 @@
     request = pending.request,
     isEngine = pending.service.engine != null,
     selfDomain = parts.self.value,
+    recentServerId = pending.recentServerId,
     meanServiceMillis = meanServiceMillis(pending),
     nowMillis = nowMillis,
     settings = settings,
@@ -272,7 +273,9 @@
 private fun ServingWork.settle(pending: PendingRequest) {
     val program = pending.request.programId ?: return
     if (!pending.isReserved && !pending.awaitsBudget) return
-    emit(SettleTokens(pending.key, program, pending.request.attemptId, pending.service.engine?.tokensPerEvent ?: 1))
+    val request = pending.request
+    val tokensPerEvent = pending.service.engine?.tokensPerEvent ?: 1
+    emit(SettleTokens(pending.key, program, request.sessionId, request.attemptId, tokensPerEvent, pending.serverId))
 }
 
 private fun PendingRequest.sendingHistory(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -15,6 +15,7 @@
 public data class ReserveTokens(
     val key: RequestKey,
     val programId: String,
+    val sessionId: String?,
     val attemptId: String,
     val tokens: Int,
     val budgetTokens: Int,
@@ -25,8 +26,11 @@
 public data class SettleTokens(
     val key: RequestKey,
     val programId: String,
+    val sessionId: String?,
     val attemptId: String,
     val tokensPerEvent: Int,
+    /** The server that generated them, where it has cached the whole prompt. */
+    val serverId: String?,
 ) : ServingEffect
 
 /**
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -37,9 +37,11 @@
     val result: HistoryResult,
 ) : ServingEvent
 
+/** [recentServerId] names the server of the session's last turn, which probably has its prompt cached. */
 public data class TokensReserved(
     val key: RequestKey,
     val result: ReservationResult,
+    val recentServerId: String? = null,
 ) : ServingEvent
 
 /** The first byte of the server's answer has arrived. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -81,23 +81,19 @@
     }
 
     private fun reserve(effect: ReserveTokens) {
-        val use = useRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false)
-        turns.reserve(use, effect.budgetTokens, effect.limitMillis) { result ->
-            loop.execute { submit(TokensReserved(effect.key, result)) }
+        val use = UseRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false, useExpiry(), effect.sessionId)
+        turns.reserve(use, effect.budgetTokens, effect.limitMillis) { result, recentServerId ->
+            loop.execute { submit(TokensReserved(effect.key, result, recentServerId)) }
         }
     }
 
     private fun settle(effect: SettleTokens) {
         val events = exchanges[effect.key]?.eventsPassed ?: return
-        turns.settle(useRecord(effect.programId, effect.attemptId, events * effect.tokensPerEvent, isSettled = true))
+        val tokens = events * effect.tokensPerEvent
+        turns.settle(UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId))
     }
 
-    private fun useRecord(
-        programId: String,
-        attemptId: String,
-        tokens: Int,
-        isSettled: Boolean,
-    ) = UseRecord(programId, attemptId, tokens, isSettled, System.currentTimeMillis() + settings.budgetRetentionMillis)
+    private fun useExpiry() = System.currentTimeMillis() + settings.budgetRetentionMillis
 
     private fun send(
         exchange: Exchange,
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -136,15 +136,19 @@
         )
     }
 
-    /** Adds a use and reports whether the program's uses, those of other attempts included, fit into [budgetTokens]. */
+    /**
+     * Adds a use and reports whether the program's uses, those of other attempts included, fit into [budgetTokens], and the
+     * server of the session's last turn where a host knows it.
+     */
     fun reserve(
         use: UseRecord,
         budgetTokens: Int,
         limitMillis: Long,
-        onDone: (ReservationResult) -> Unit,
+        onDone: (ReservationResult, String?) -> Unit,
     ) {
-        if (!isReachable) return onDone(ReservationResult.UNCERTAIN)
+        if (!isReachable) return onDone(ReservationResult.UNCERTAIN, null)
         var tally = BudgetTally()
+        var recentServerId: String? = null
         var answers = 0
         gather(
             TurnMethods.use,
@@ -152,15 +156,16 @@
             Ask(ranked(use.programId), hosts.quorum, limitMillis),
             onReply = { reply ->
                 val counts = reply.isKept && reply.isComplete
+                recentServerId = reply.recentServerId ?: recentServerId
                 if (counts) answers++
                 tally = tally.merge(BudgetTally(reply.entries.associate { it.attemptId to TokenUse(it.tokens, it.isSettled) }))
                 if (answers >= hosts.quorum) Verdict.ENOUGH else Verdict.of(counts)
             },
             onEnd = {
                 when {
-                    answers < hosts.quorum -> onDone(ReservationResult.UNCERTAIN)
-                    tally.allows(budgetTokens) -> onDone(ReservationResult.RESERVED)
-                    else -> onDone(ReservationResult.SPENT)
+                    answers < hosts.quorum -> onDone(ReservationResult.UNCERTAIN, null)
+                    tally.allows(budgetTokens) -> onDone(ReservationResult.RESERVED, recentServerId)
+                    else -> onDone(ReservationResult.SPENT, null)
                 }
             },
         )
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnKeeper.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnKeeper.kt
@@ -22,6 +22,7 @@
     private val log = TurnLog(folder.resolve("log"), nowEpochMillis, onFailure)
     private val turns = HashMap<String, TurnRecord>()
     private val uses = HashMap<String, HashMap<String, UseRecord>>()
+    private val recentServers = HashMap<String, RecentServers>()
 
     /** Everything kept, in the order of arrival, for copies to other hosts. */
     private val order = ArrayDeque<StoredRecord>()
@@ -92,7 +93,8 @@
         remember(record)
         val entries = uses[use.programId].orEmpty().values.map { UseEntry(it.attemptId, it.tokens, it.isSettled) }
         val complete = isComplete
-        store(record) { kept -> onReply(UseReply(kept, entries, complete)) }
+        val recentServerId = recentServers[use.programId]?.of(use.sessionId)
+        store(record) { kept -> onReply(UseReply(kept, entries, complete, recentServerId)) }
     }
 
     fun copy(request: CopyRequest): CopyPage {
@@ -180,7 +182,10 @@
         // A newer record of the same attempt expires later and stands further down.
         if (current.expiresAtEpochMillis > use.expiresAtEpochMillis) return
         entries.remove(use.attemptId)
-        if (entries.isEmpty()) uses.remove(use.programId)
+        if (entries.isEmpty()) {
+            uses.remove(use.programId)
+            recentServers.remove(use.programId)
+        }
     }
 
     private fun isNews(record: StoredRecord): Boolean {
@@ -195,6 +200,8 @@
         record.turn?.let { turns[it.id] = it }
         record.use?.let { use ->
             uses.getOrPut(use.programId) { HashMap() }.merge(use.attemptId, use, ::merged)
+            val serverId = use.serverId
+            if (serverId != null) recentServers.getOrPut(use.programId) { RecentServers() }.add(use.sessionId.orEmpty(), serverId)
         }
     }
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -29,6 +29,8 @@
     val isKept: Boolean,
     val entries: List<UseEntry>,
     val isComplete: Boolean,
+    /** The server of the session's last turn, else of the program's. */
+    val recentServerId: String? = null,
 )
 
 @Serializable
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsBench.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsBench.kt
@@ -108,7 +108,7 @@
     ): ReservationResult {
         val result = CompletableFuture<ReservationResult>()
         val use = UseRecord("p", attempt, tokens, isSettled = false, System.currentTimeMillis() + 60_000)
-        onClient { by.reserve(use, budget, LIMIT_MILLIS, result::complete) }
+        onClient { by.reserve(use, budget, LIMIT_MILLIS) { outcome, _ -> result.complete(outcome) } }
         return result.get(5, TimeUnit.SECONDS)
     }
 
