Relay turn calls of entry hosts that are cut off

Ruled out: reporting not ready alone, which had been in force; the platform goes on sending callers where most entry hosts of a domain aren't ready.

Change: hosts with disks name the entry hosts that called them lately, and an entry host that reaches too few of them has its calls passed on by one of these. Calls are relayed once, and only while the process itself reaches less than a majority. LoopbackProxy of the stand-ins silences connections for the test.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -24,6 +24,7 @@
 import lavendertrail.serving.servingState
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnHosts
+import lavendertrail.turns.startRelayServer
 import java.util.concurrent.TimeUnit
 
 /**
@@ -33,7 +34,7 @@
 public class Gateway(
     private val settings: GatewaySettings,
     private val wire: GatewayWire,
-    group: EventLoopGroup,
+    private val group: EventLoopGroup,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
 ) {
@@ -77,6 +78,7 @@
                 ).bind(socketAddress(settings.callerAddress))
                 .sync()
                 .channel()
+        settings.relayAddress?.let { startRelayServer(turns.relay, socketAddress(it), group) }
         loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
@@ -133,6 +135,7 @@
         try {
             submit(ClockTicked)
             if (ticks % PROBE_TICKS == 0L) probeTurnHosts()
+            if (ticks % MEET_TICKS == 0L) settings.relayAddress?.let(turns::meet)
             if (ticks++ % SLOW_TICKS == 0L) {
                 val now = nowMillis()
                 callers.toList().forEach { it.checkTimes(now) }
@@ -201,6 +204,9 @@
         const val SLOW_TICKS = 10L
         const val PROBE_TICKS = 5L
 
+        /** Every five seconds; other entry hosts change rarely. */
+        const val MEET_TICKS = 100L
+
         /** The platform asks once a second and takes a process out after two misses. */
         const val STOP_ACCEPTING_MILLIS = 3_500L
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewaySettings.kt
@@ -10,6 +10,8 @@
     val callerAddress: String,
     /** Serves readiness, metrics and the state dump. */
     val readinessAddress: String,
+    /** Where calls of other entry hosts to the hosts with disks are relayed; null to relay none. */
+    val relayAddress: String?,
     /** How long a stop in order may take. */
     val graceMillis: Long,
     val serving: ServingSettings = ServingSettings(),
--- a/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
@@ -51,7 +51,7 @@
     }
 
     private fun offerAll(others: List<TurnHost>): Boolean {
-        val kept = others.count { other -> TurnPeer(other, group).use { offer(it) } }
+        val kept = others.count { other -> TurnPeer(other.address, group).use { offer(it, other) } }
         log.event("offered turns") {
             put("hosts", others.size)
             put("kept", kept)
@@ -59,15 +59,18 @@
         return kept == others.size
     }
 
-    private fun offer(peer: TurnPeer): Boolean {
+    private fun offer(
+        peer: TurnPeer,
+        other: TurnHost,
+    ): Boolean {
         while (true) {
-            val after = offered[peer.host] ?: 0L
+            val after = offered[other] ?: 0L
             val page = CompletableFuture<TurnKeeper.RecordPage>()
             loop.execute { page.complete(keeper.recordsAfter(after)) }
             val records = page.get(OFFER_MILLIS, TimeUnit.MILLISECONDS)
             val reply = peer.await(loop, TurnMethods.offer, OfferRequest(records.records), OFFER_MILLIS)
             if (!reply.fold({ it.isKept }, ::failed)) return false
-            offered[peer.host] = records.next
+            offered[other] = records.next
             if (records.isLast) return true
         }
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.fold
 import io.grpc.MethodDescriptor
 import io.netty.channel.EventLoopGroup
+import lavendertrail.gateway.socketAddress
 import lavendertrail.model.FailureDomain
 import lavendertrail.model.StepError
 import lavendertrail.serving.BudgetTally
@@ -12,6 +13,7 @@
 import lavendertrail.serving.TokenUse
 import lavendertrail.serving.TurnHost
 import lavendertrail.serving.rankTurnHosts
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
 /**
@@ -24,30 +26,71 @@
     private val loop: EventLoopGroup,
     private val self: FailureDomain,
     cacheBytes: Long,
+    private val resolve: (address: String) -> InetSocketAddress = ::socketAddress,
     private val onProblem: (StepError) -> Unit,
 ) : AutoCloseable {
     var hosts = TurnHosts()
         private set
     private val peers = mutableMapOf<TurnHost, TurnPeer>()
+    private val relayed = RelayedCalls(loop)
     private val cache = TurnCache(cacheBytes)
 
     /** Whether enough hosts answer for turns and budgets. While they don't, look-ups end at once instead of at their limit. */
-    val isReachable: Boolean get() = hosts.isSufficient && peers.values.count { !it.isSuspect } >= hosts.quorum
+    val isReachable: Boolean get() = hosts.isSufficient && hosts.hosts.count(::isUsable) >= hosts.quorum
+
+    /** Whether other entry hosts are asked to pass calls on, because too few hosts answer this process itself. */
+    val isRelayed: Boolean get() = relayed.isPossible && peers.values.count { !it.isSuspect } < hosts.quorum
 
     /** Whether there are hosts with disks, but too few of them answer. */
     val isCutOff: Boolean get() = hosts.hosts.isNotEmpty() && !isReachable
 
-    /** Calls the hosts that have left calls without an answer; those that answer are used again. */
+    val knowsRelays: Boolean get() = relayed.isPossible
+
+    /** Passes calls of other entry hosts on to the hosts that answer this one. */
+    val relay = TurnRelay { address -> peers.values.firstOrNull { it.address == address && !it.isSuspect } }
+
+    private fun isUsable(host: TurnHost) = peers[host]?.isSuspect == false || relayed.reaches(host.address)
+
+    /** Calls the hosts that have left calls without an answer, directly and by way of other entry hosts. */
     fun probe() {
-        val suspects = peers.values.filter { it.isSuspect }
-        for (peer in suspects) peer.call(TurnMethods.chain, ChainRequest(""), PROBE_LIMIT_MILLIS) { result -> result.fold({}, onProblem) }
+        val request = ChainRequest("")
+        val isRelayed = isRelayed
+        for (peer in peers.values.filter { it.isSuspect }) {
+            peer.call(TurnMethods.chain, request, PROBE_LIMIT_MILLIS) { result -> result.fold({}, onProblem) }
+            if (isRelayed) {
+                relayed.call(peer.address, TurnMethods.chain, request, PROBE_LIMIT_MILLIS) { result -> result.fold({}, onProblem) }
+            }
+        }
+    }
+
+    /** Tells the hosts where this process relays calls, and learns where others do. */
+    fun meet(relayAddress: String) {
+        for (peer in peers.values.filter { !it.isSuspect }) {
+            peer.call(TurnMethods.meet, MeetRequest(relayAddress), PROBE_LIMIT_MILLIS) { result ->
+                result.fold({ relayed.learn(it.relayAddresses) }, onProblem)
+            }
+        }
+    }
+
+    private fun <Q : Any, R : Any> call(
+        peer: TurnPeer,
+        method: MethodDescriptor<Q, R>,
+        request: Q,
+        limitMillis: Long,
+        onResult: (Result<R, StepError>) -> Unit,
+    ) {
+        if (peer.isSuspect && isRelayed) {
+            relayed.call(peer.address, method, request, limitMillis, onResult)
+        } else {
+            peer.call(method, request, limitMillis, onResult)
+        }
     }
 
     fun update(hosts: TurnHosts) {
         this.hosts = hosts
         val gone = peers.keys - hosts.hosts.toSet()
         gone.forEach { peers.remove(it)?.close() }
-        hosts.hosts.forEach { host -> peers.getOrPut(host) { TurnPeer(host, loop) } }
+        hosts.hosts.forEach { host -> peers.getOrPut(host) { TurnPeer(host.address, loop, resolve) } }
     }
 
     /** Reports true once [TurnHosts.copies] hosts have the turn on their disks. */
@@ -174,7 +217,7 @@
     /** Replaces a reservation at all hosts. A host that misses it counts the reservation, which is never too low. */
     fun settle(use: UseRecord) {
         for (peer in peers.values) {
-            peer.call(TurnMethods.use, use, SETTLE_LIMIT_MILLIS) { result -> result.fold({}, onProblem) }
+            call(peer, TurnMethods.use, use, SETTLE_LIMIT_MILLIS) { result -> result.fold({}, onProblem) }
         }
     }
 
@@ -232,7 +275,7 @@
                 return
             }
             open++
-            peer.call(method, request, remainingMillis) { result: Result<R, StepError> ->
+            call(peer, method, request, remainingMillis) { result: Result<R, StepError> ->
                 open--
                 val verdict =
                     result.fold({ onReply(it) }, {
@@ -258,6 +301,7 @@
 
     override fun close() {
         peers.values.forEach { it.close() }
+        relayed.close()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
@@ -29,7 +29,7 @@
 
     /** Blocks until everything that [other] keeps is on the own disk. */
     fun copy(other: TurnHost): Result<Unit, StepError> =
-        TurnPeer(other, group).use { peer ->
+        TurnPeer(other.address, group).use { peer ->
             while (true) {
                 val known = progress[other] ?: Progress(null, 0)
                 val page = peer.await(loop, TurnMethods.copy, CopyRequest(known.after), CALL_MILLIS).fold({ it }, { return Err(it) })
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -78,6 +78,31 @@
     val expiresAtEpochMillis: Long get() = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: 0
 }
 
+/** A call to the host at [hostAddress], made by another entry host that it doesn't answer. */
+@Serializable
+internal class RelayRequest(
+    val hostAddress: String,
+    val method: String,
+    val request: ByteArray,
+)
+
+/** [reply] is null where the relaying host doesn't reach the called one either. */
+@Serializable
+internal class RelayReply(
+    val reply: ByteArray?,
+)
+
+/** An entry host tells the address at which it relays calls, and asks for those of others. */
+@Serializable
+internal data class MeetRequest(
+    val relayAddress: String,
+)
+
+@Serializable
+internal data class MeetReply(
+    val relayAddresses: List<String>,
+)
+
 /** Records of a host that is being emptied. */
 @Serializable
 internal class OfferRequest(
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -22,19 +22,37 @@
     val use = unary("Use", UseRecord.serializer(), UseReply.serializer())
     val fetch = unary("Fetch", FetchRequest.serializer(), FetchReply.serializer())
     val offer = unary("Offer", OfferRequest.serializer(), KeepReply.serializer())
+    val meet = unary("Meet", MeetRequest.serializer(), MeetReply.serializer())
+    val relay = unary("Relay", RelayRequest.serializer(), RelayReply.serializer())
     val copy = unary("Copy", CopyRequest.serializer(), CopyPage.serializer())
 
+    /** The methods that entry hosts call for each other, by name, with messages that are passed on as they are. */
+    val relayed: Map<String, MethodDescriptor<ByteArray, ByteArray>> =
+        listOf(keep, chain, use).associate { it.bareMethodName.orEmpty() to method(it.bareMethodName.orEmpty(), EncodedMessage, EncodedMessage) }
+
     private fun <Q : Any, R : Any> unary(
         name: String,
         request: KSerializer<Q>,
         reply: KSerializer<R>,
+    ): MethodDescriptor<Q, R> = method(name, marshaller(request), marshaller(reply))
+
+    private fun <Q : Any, R : Any> method(
+        name: String,
+        request: MethodDescriptor.Marshaller<Q>,
+        reply: MethodDescriptor.Marshaller<R>,
     ): MethodDescriptor<Q, R> =
         MethodDescriptor
-            .newBuilder(marshaller(request), marshaller(reply))
+            .newBuilder(request, reply)
             .setFullMethodName(MethodDescriptor.generateFullMethodName(TURN_SERVICE_NAME, name))
             .setType(MethodDescriptor.MethodType.UNARY)
             .build()
 
+    private object EncodedMessage : MethodDescriptor.Marshaller<ByteArray> {
+        override fun stream(value: ByteArray): InputStream = ByteArrayInputStream(value)
+
+        override fun parse(stream: InputStream): ByteArray = stream.readAllBytes()
+    }
+
     @OptIn(ExperimentalSerializationApi::class)
     private fun <T : Any> marshaller(serializer: KSerializer<T>) =
         object : MethodDescriptor.Marshaller<T> {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -16,7 +16,7 @@
 import lavendertrail.gateway.nowMillis
 import lavendertrail.gateway.socketAddress
 import lavendertrail.model.StepError
-import lavendertrail.serving.TurnHost
+import java.net.InetSocketAddress
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
@@ -29,10 +29,11 @@
 /** Far beyond a round trip with a disk's sync; a host that is cut off is passed over from then on. */
 private const val SUSPECT_MILLIS = 250L
 
-/** Calls to one host with a disk. Results arrive on the event loop. */
+/** Calls to one host at [address]. Results arrive on the event loop. */
 internal class TurnPeer(
-    val host: TurnHost,
+    val address: String,
     private val loop: EventLoopGroup,
+    private val resolve: (address: String) -> InetSocketAddress = ::socketAddress,
 ) : AutoCloseable {
     private var channel: ManagedChannel = newChannel()
 
@@ -70,7 +71,7 @@
                 override fun onError(error: Throwable) {
                     openCalls.remove(number)
                     failed(used, error)
-                    onResult(Err(StepError(method.bareMethodName.orEmpty(), host.address, error.toString())))
+                    onResult(Err(StepError(method.bareMethodName.orEmpty(), address, error.toString())))
                 }
 
                 override fun onCompleted() {
@@ -111,7 +112,7 @@
 
     private fun newChannel(): ManagedChannel =
         NettyChannelBuilder
-            .forAddress(socketAddress(host.address))
+            .forAddress(resolve(address))
             .eventLoopGroup(loop)
             .channelType(NioSocketChannel::class.java)
             .directExecutor()
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -6,6 +6,7 @@
 import io.grpc.stub.ServerCalls
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import lavendertrail.gateway.nowMillis
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -18,6 +19,27 @@
     keeper: TurnKeeper,
     address: InetSocketAddress,
     loop: EventLoopGroup,
+): Server = startServer(definition(keeper), address, loop)
+
+/** Serves [relay] to other entry hosts on [address]. All handlers run on [loop]. */
+internal fun startRelayServer(
+    relay: TurnRelay,
+    address: InetSocketAddress,
+    loop: EventLoopGroup,
+): Server =
+    startServer(
+        ServerServiceDefinition
+            .builder(TURN_SERVICE_NAME)
+            .addMethod(TurnMethods.relay, answering(relay::pass))
+            .build(),
+        address,
+        loop,
+    )
+
+private fun startServer(
+    service: ServerServiceDefinition,
+    address: InetSocketAddress,
+    loop: EventLoopGroup,
 ): Server =
     NettyServerBuilder
         .forAddress(address)
@@ -30,13 +52,15 @@
         .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .permitKeepAliveTime(KEEP_ALIVE_MILLIS / 2, TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(definition(keeper))
+        .addService(service)
         .build()
         .start()
 
-private fun definition(keeper: TurnKeeper): ServerServiceDefinition =
-    ServerServiceDefinition
+private fun definition(keeper: TurnKeeper): ServerServiceDefinition {
+    val entryHosts = EntryHosts(::nowMillis)
+    return ServerServiceDefinition
         .builder(TURN_SERVICE_NAME)
+        .addMethod(TurnMethods.meet, answering { request, reply -> reply(MeetReply(entryHosts.meet(request.relayAddress))) })
         .addMethod(TurnMethods.keep, answering(keeper::keep))
         .addMethod(TurnMethods.chain, answering { request, reply -> reply(keeper.chain(request)) })
         .addMethod(TurnMethods.use, answering(keeper::use))
@@ -44,6 +68,7 @@
         .addMethod(TurnMethods.offer, answering { request, reply -> keeper.adopt(request.records) { reply(KeepReply(it)) } })
         .addMethod(TurnMethods.copy, answering { request, reply -> reply(keeper.copy(request)) })
         .build()
+}
 
 private fun <Q : Any, R : Any> answering(handle: (Q, (R) -> Unit) -> Unit) =
     ServerCalls.asyncUnaryCall<Q, R> { request, observer ->
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayBench.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayBench.kt
@@ -29,7 +29,7 @@
     private val group = singleEventLoop()
     val gateway =
         Gateway(
-            GatewaySettings("node", FailureDomain("a"), "127.0.0.1:$port", "127.0.0.1:0", graceMillis = 3_000),
+            GatewaySettings("node", FailureDomain("a"), "127.0.0.1:$port", "127.0.0.1:0", relayAddress = null, graceMillis = 3_000),
             wire,
             group,
             DecisionLog("node"),
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsBench.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsBench.kt
@@ -21,7 +21,7 @@
     private val tolerance: Int = 1,
 ) : AutoCloseable {
     val service = KeyValueStandin()
-    private val clientGroup = singleEventLoop()
+    val clientGroup = singleEventLoop()
     private val running = mutableMapOf<String, Running>()
     private val folders = mutableMapOf<String, Path>()
     private val retiring = mutableSetOf<String>()
@@ -87,16 +87,22 @@
     fun save(
         id: String,
         previous: String? = null,
+        by: TurnClient = client,
+        on: EventLoopGroup = clientGroup,
     ): Boolean {
         val result = CompletableFuture<Boolean>()
         val turn = TurnRecord(id, "p", previous, "in-$id".toByteArray(), "out-$id".toByteArray(), System.currentTimeMillis() + 60_000)
-        onClient { client.save(turn, LIMIT_MILLIS, result::complete) }
+        on(on) { by.save(turn, LIMIT_MILLIS, result::complete) }
         return result.get(5, TimeUnit.SECONDS)
     }
 
-    fun load(id: String): Pair<HistoryResult, List<String>> {
+    fun load(
+        id: String,
+        by: TurnClient = client,
+        on: EventLoopGroup = clientGroup,
+    ): Pair<HistoryResult, List<String>> {
         val result = CompletableFuture<Pair<HistoryResult, List<String>>>()
-        onClient { client.load(id, "p", LIMIT_MILLIS) { found, turns -> result.complete(found to turns.map { it.id }) } }
+        on(on) { by.load(id, "p", LIMIT_MILLIS) { found, turns -> result.complete(found to turns.map { it.id }) } }
         return result.get(5, TimeUnit.SECONDS)
     }
 
@@ -105,10 +111,11 @@
         tokens: Int,
         budget: Int,
         by: TurnClient = client,
+        on: EventLoopGroup = clientGroup,
     ): ReservationResult {
         val result = CompletableFuture<ReservationResult>()
         val use = UseRecord("p", attempt, tokens, isSettled = false, System.currentTimeMillis() + 60_000)
-        onClient { by.reserve(use, budget, LIMIT_MILLIS) { outcome, _ -> result.complete(outcome) } }
+        on(on) { by.reserve(use, budget, LIMIT_MILLIS) { outcome, _ -> result.complete(outcome) } }
         return result.get(5, TimeUnit.SECONDS)
     }
 
@@ -119,9 +126,12 @@
         onClient { client.settle(UseRecord("p", attempt, tokens, isSettled = true, System.currentTimeMillis() + 60_000)) }
     }
 
-    private fun onClient(task: () -> Unit) {
-        clientGroup.next().submit(task).get()
-    }
+    private fun onClient(task: () -> Unit) = on(clientGroup, task)
+
+    fun <T> on(
+        group: EventLoopGroup,
+        task: () -> T,
+    ): T = group.next().submit(task).get()
 
     override fun close() {
         running.keys.toList().forEach(::stop)
--- /dev/null
+++ b/standins/src/main/kotlin/lavendertrail/standins/LoopbackProxy.kt
@@ -0,0 +1,94 @@
+package lavendertrail.standins
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+
+/**
+ * Passes connections on to another loopback port, and misbehaves as a network does: while silent, nothing arrives on either
+ * side although connections stay open and new ones are accepted.
+ */
+public class LoopbackProxy(
+    private val targetPort: Int,
+) : AutoCloseable {
+    private val acceptor = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val sockets = ConcurrentHashMap.newKeySet<Socket>()
+
+    @Volatile
+    public var isSilent: Boolean = false
+        private set
+
+    public val port: Int get() = acceptor.localPort
+
+    init {
+        thread(name = "loopback-proxy", isDaemon = true) {
+            while (!acceptor.isClosed) {
+                try {
+                    accept(acceptor.accept())
+                } catch (_: IOException) {
+                    // The proxy is being closed, or one connection could not be made; its end sees that.
+                }
+            }
+        }
+    }
+
+    private fun accept(caller: Socket) {
+        val target =
+            try {
+                Socket(InetAddress.getLoopbackAddress(), targetPort)
+            } catch (e: IOException) {
+                caller.close()
+                throw e
+            }
+        sockets += listOf(caller, target)
+        pump(caller, target)
+        pump(target, caller)
+    }
+
+    private fun pump(
+        from: Socket,
+        to: Socket,
+    ) {
+        thread(name = "loopback-pump", isDaemon = true) {
+            try {
+                val buffer = ByteArray(BUFFER_BYTES)
+                while (true) {
+                    val size = from.getInputStream().read(buffer)
+                    while (isSilent) Thread.sleep(SILENT_POLL_MILLIS)
+                    if (size < 0) break
+                    to.getOutputStream().write(buffer, 0, size)
+                }
+            } catch (_: IOException) {
+                // Either side has closed; both are closed below.
+            }
+            sockets -= setOf(from, to)
+            from.close()
+            to.close()
+        }
+    }
+
+    /** Holds all bytes back from now on. */
+    public fun silence() {
+        isSilent = true
+    }
+
+    /** Passes bytes on again, those that were held back first. */
+    public fun resume() {
+        isSilent = false
+    }
+
+    override fun close() {
+        isSilent = false
+        acceptor.close()
+        sockets.forEach { it.close() }
+    }
+
+    private companion object {
+        const val BACKLOG = 64
+        const val BUFFER_BYTES = 16 * 1024
+        const val SILENT_POLL_MILLIS = 10L
+    }
+}
