Let requests wait for the configuration just after a start

Ruled out: accepting callers later; they then meet a closed port and pause as well.

Change: in the first second of a process requests wait for the first configuration and server list. A process that has run for longer refuses them at once, as before. The test of that refusal now starts from a process that has run for a while, and two tests of the waiting stand beside it.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -10,13 +10,21 @@
 internal fun ServingWork.arrive(
     key: RequestKey,
     request: CallerRequest,
+) = admit(key, request, nowMillis)
+
+/** Takes on a request that arrived at [arrivedMillis], from which its deadline counts. */
+internal fun ServingWork.admit(
+    key: RequestKey,
+    request: CallerRequest,
+    arrivedMillis: Long,
 ) {
-    val config = parts.config ?: return emit(Reject(key, RejectReason.NO_CONFIGURATION, RETRY_UNREADY_MILLIS))
+    val config = parts.config
+    if (config == null) return arriveEarly(key, request)
     val route = config.route(request.host, request.path)
     val service = route?.let { config.services[it.serviceFor(request)] }
     if (route == null || service == null) return emit(Reject(key, RejectReason.NO_ROUTE, detail = "configuration ${config.version}"))
     val limitMillis = minOf(route.timeoutMillis, request.deadlineMillis ?: route.timeoutMillis)
-    val pending = PendingRequest(key, request, route, service, nowMillis, nowMillis + limitMillis)
+    val pending = PendingRequest(key, request, route, service, arrivedMillis, arrivedMillis + limitMillis)
     put(pending)
     if (pending.remainingMillis(nowMillis) < settings.minSendMillis) return reject(pending, RejectReason.DEADLINE_PASSED)
     if (!admits(pending)) return reject(pending, RejectReason.OVERLOADED, comeBackMillis(pending), "slowdown ${slowdown(pending)}")
@@ -232,6 +240,7 @@
 }
 
 internal fun ServingWork.callerLeft(event: CallerLeft) {
+    forgetEarlyRequest(event.key)
     val pending = request(event.key) ?: return
     if (pending.stage == PendingRequest.Stage.SENT) {
         updateServer(pending.serverId) { it.ended() }
@@ -313,7 +322,7 @@
 private const val RETRY_UNCERTAIN_MILLIS = 200L
 
 /** Time in which a process reads its configuration or a server registers. */
-private const val RETRY_UNREADY_MILLIS = 300L
+internal const val RETRY_UNREADY_MILLIS = 300L
 
 /** Priorities that an engine knows run from 0 to 9; two are used for each rank of routes. */
 private const val MAX_ROUTE_RANK = 8
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -10,10 +10,17 @@
     event: ServingEvent,
 ): ServingStep {
     val work = ServingWork(state.parts, nowMillis)
+    work.noteStart()
     when (event) {
         is ConfigAccepted -> work.acceptConfig(event.config)
-        is ServersListed -> work.replaceServers(event.servers)
-        is ServerChanged -> work.changeServer(event.server)
+        is ServersListed -> {
+            work.replaceServers(event.servers)
+            work.releaseEarlyRequests()
+        }
+        is ServerChanged -> {
+            work.changeServer(event.server)
+            work.releaseEarlyRequests()
+        }
         is ServerRemoved -> work.removeServer(event.id)
         is StoreReachable -> work.changeStore(event.isReachable)
         is RequestArrived -> work.arrive(event.key, event.request)
@@ -34,6 +41,7 @@
 
 private fun ServingWork.tick() {
     dropLapsedServers()
+    releaseEarlyRequests()
     parts.requests.values
         .filter { nowMillis >= it.limitAtMillis }
         .forEach { timeOut(it) }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -4,6 +4,8 @@
 public data class ServingSettings(
     /** Entries that lapsed while the platform's store was away are used this long after its return; the platform grants two seconds. */
     val lapsedGraceMillis: Long = 2_200,
+    /** How long after its start a process lets requests wait for its configuration, which it reads in about 300 ms. */
+    val startHoldMillis: Long = 1_000,
     /** Refused sendings of one request before it is rejected; each costs a round trip of about 2 ms. */
     val maxRefusals: Int = 3,
     /** First pause after a failed connection to a server, doubled with each failure in a row. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -1,7 +1,9 @@
 package lavendertrail.serving
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
 import lavendertrail.model.FailureDomain
 
 /** All that the serving decisions of one process depend on. */
@@ -10,7 +12,7 @@
 ) {
     public val configVersion: Long? get() = parts.config?.version
     public val config: ServingConfig? get() = parts.config
-    public val pendingRequests: Int get() = parts.requests.size
+    public val pendingRequests: Int get() = parts.requests.size + parts.earlyRequests.size
     public val knownServers: Int get() = parts.servers.size
 
     /** How much slower than on idle engines each service generates, for the state dump. */
@@ -25,6 +27,9 @@
     val self: FailureDomain,
     val settings: ServingSettings,
     val config: ServingConfig? = null,
+    val startedAtMillis: Long? = null,
+    /** Requests that arrived before the first configuration, in the order of arrival. */
+    val earlyRequests: PersistentList<EarlyRequest> = persistentListOf(),
     val servers: PersistentMap<String, ServerState> = persistentHashMapOf(),
     val isStoreReachable: Boolean = false,
     val storeChangedAtMillis: Long = 0,
--- a/core/src/test/kotlin/lavendertrail/serving/ServingBench.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ServingBench.kt
@@ -5,6 +5,7 @@
 /** A reducer with two services, one server each, and the effects of the last event. */
 internal class ServingBench(
     isConfigured: Boolean = true,
+    isStarting: Boolean = false,
 ) {
     val config =
         ServingConfig(
@@ -30,10 +31,12 @@
 
     init {
         apply(StoreReachable(true))
-        nowMillis += 10_000
+        if (!isStarting) nowMillis += 10_000
         if (isConfigured) apply(ConfigAccepted(config))
-        addServer("tool-1", "tools")
-        addServer("engine-1", "engines")
+        if (!isStarting) {
+            addServer("tool-1", "tools")
+            addServer("engine-1", "engines")
+        }
     }
 
     fun apply(event: ServingEvent) {
--- a/core/src/test/kotlin/lavendertrail/serving/ServingReducerTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ServingReducerTest.kt
@@ -18,14 +18,45 @@
     }
 
     @Test
-    fun `an unknown route is refused and an unknown configuration may come back`() {
+    fun `an unknown route is refused`() {
         bench.arrive(1, bench.plain("/nowhere/x"))
         assertEquals(RejectReason.NO_ROUTE, bench.only<Reject>().reason)
+    }
+
+    @Test
+    fun `a request without a configuration is refused at once by a process that has run for a while`() {
         val empty = ServingBench(isConfigured = false)
         empty.arrive(1, empty.plain("/tools/x"))
         assertEquals(RejectReason.NO_CONFIGURATION, empty.only<Reject>().reason)
     }
 
+    @Test
+    fun `a request that arrives just after the start is sent once the configuration is read`() {
+        val starting = ServingBench(isConfigured = false, isStarting = true)
+        starting.arrive(1, starting.plain("/tools/x", deadlineMillis = 900))
+        starting.arrive(2, starting.plain("/tools/y", deadlineMillis = 900))
+        assertEquals(emptyList(), starting.effects)
+        starting.apply(CallerLeft(2))
+        starting.nowMillis += 300
+        starting.apply(ConfigAccepted(starting.config))
+        assertEquals(emptyList(), starting.effects)
+        starting.addServer("tool-2", "tools")
+        val sent = starting.only<SendToServer>()
+        assertEquals(1, sent.key)
+        assertEquals(600, sent.deadlineMillis)
+    }
+
+    @Test
+    fun `a request that waits for a configuration in vain is refused as not run`() {
+        val starting = ServingBench(isConfigured = false, isStarting = true)
+        starting.arrive(1, starting.plain("/tools/x", deadlineMillis = 9_000))
+        starting.nowMillis += 1_000
+        starting.apply(ClockTicked)
+        assertEquals(RejectReason.NO_CONFIGURATION, starting.only<Reject>().reason)
+        starting.apply(ClockTicked)
+        assertEquals(emptyList(), starting.effects)
+    }
+
     @Test
     fun `a turn is sent once its history and its budget are known`() {
         bench.arrive(1, bench.turn(previous = "t0"))
