Leave the order of requests within an engine to the engine

Cause: engines interrupt the newest of the less urgent requests for a more urgent one and read its prompt again later.

Ruled out: one priority for each route, which interrupts streams as well.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -147,13 +147,11 @@
             triedServers = pending.triedServers + server.id,
         ),
     )
-    val priority = if (pending.service.engine != null) enginePriority(pending) else null
     emit(
         SendToServer(
             key = pending.key,
             server = server,
             deadlineMillis = pending.remainingMillis(nowMillis),
-            priority = priority,
             resumeAfterEventId = pending.resumeAfterEventId,
             isStream = pending.route.kind == RequestKind.STREAM,
             turnRetentionMillis = pending.route.turnRetentionMillis,
@@ -188,12 +186,6 @@
 /** A caller that comes back after about the time in which a full server frees some slots finds room. */
 private fun ServingWork.overloadedMillis(pending: PendingRequest): Long = (meanServiceMillis(pending) * settings.maxQueueShare / 2).toLong()
 
-/** Urgent routes first; within a route, programs that have already had turns go before new ones. */
-private fun enginePriority(pending: PendingRequest): Int {
-    val rank = (pending.route.priority * 2).coerceIn(0, MAX_ROUTE_RANK)
-    return if (pending.request.previousTurnId != null) rank else rank + 1
-}
-
 internal fun ServingWork.answerStarted(event: AnswerStarted) {
     val pending = request(event.key) ?: return
     updateServer(pending.serverId) { it.reported(event.load, nowMillis).healthy() }
@@ -323,6 +315,3 @@
 
 /** Time in which a process reads its configuration or a server registers. */
 internal const val RETRY_UNREADY_MILLIS = 300L
-
-/** Priorities that an engine knows run from 0 to 9; two are used for each rank of routes. */
-private const val MAX_ROUTE_RANK = 8
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -41,7 +41,6 @@
     val key: RequestKey,
     val server: BackendServer,
     val deadlineMillis: Long,
-    val priority: Int?,
     val resumeAfterEventId: String?,
     val isStream: Boolean,
     val turnRetentionMillis: Long?,
--- a/core/src/test/kotlin/lavendertrail/serving/TurnAffinityTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/TurnAffinityTest.kt
@@ -34,7 +34,9 @@
         repeat(24) { key ->
             bench.arrive(key.toLong(), bench.turn(previous = null).copy(attemptId = "busy$key", programId = null))
         }
-        val full = bench.state.parts.servers.getValue("engine-1")
+        val full =
+            bench.state.parts.servers
+                .getValue("engine-1")
         bench.arrive(100, session(0, turn = 2, parts = 3))
         // All engines are equally busy here, so the turn stays; with nine more requests on its engine it leaves.
         bench.apply(TokensReserved(100, ReservationResult.RESERVED, full.server.id))
@@ -66,7 +68,12 @@
      */
     private fun replay(isTold: Boolean): Outcome {
         val random = Random(SEED)
-        val hosts = List(ENTRY_HOSTS) { ServingBench().also { host -> repeat(ENGINES - 1) { host.addServer("engine-${it + 2}", "engines") } } }
+        val hosts =
+            List(ENTRY_HOSTS) {
+                ServingBench().also { host ->
+                    repeat(ENGINES - 1) { host.addServer("engine-${it + 2}", "engines") }
+                }
+            }
         val held = mutableMapOf<String, MutableSet<String>>()
         val running = mutableMapOf<String, Int>()
         val recent = mutableMapOf<Int, String>()
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -90,7 +90,9 @@
     private fun settle(effect: SettleTokens) {
         val events = exchanges[effect.key]?.eventsPassed ?: return
         val tokens = events * effect.tokensPerEvent
-        turns.settle(UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId))
+        turns.settle(
+            UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId),
+        )
     }
 
     private fun useExpiry() = System.currentTimeMillis() + settings.budgetRetentionMillis
--- a/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
@@ -57,7 +57,8 @@
         triesLeft: Int,
         onResult: (Result<ByteArray, StepError>) -> Unit,
     ) {
-        val used = current() ?: return onResult(Err(StepError("relay ${request.method}", request.hostAddress, "no other entry host is known")))
+        val used =
+            current() ?: return onResult(Err(StepError("relay ${request.method}", request.hostAddress, "no other entry host is known")))
         val startedMillis = nowMillis()
 
         fun failed(error: StepError) {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -28,7 +28,10 @@
 
     /** The methods that entry hosts call for each other, by name, with messages that are passed on as they are. */
     val relayed: Map<String, MethodDescriptor<ByteArray, ByteArray>> =
-        listOf(keep, chain, use).associate { it.bareMethodName.orEmpty() to method(it.bareMethodName.orEmpty(), EncodedMessage, EncodedMessage) }
+        listOf(keep, chain, use).associate {
+            it.bareMethodName.orEmpty() to
+                method(it.bareMethodName.orEmpty(), EncodedMessage, EncodedMessage)
+        }
 
     private fun <Q : Any, R : Any> unary(
         name: String,
