Tell the story of a request from logs with lavendertrailctl why

Cause: an on-call engineer had to grep the logs of all entry hosts by id, and then again for what each host believed at the time.

--- a/ctl/src/main/kotlin/lavendertrail/ctl/Main.kt
+++ b/ctl/src/main/kotlin/lavendertrail/ctl/Main.kt
@@ -2,6 +2,7 @@
 
 import lavendertrail.experiment.experimentCommand
 import lavendertrail.load.loadCommand
+import lavendertrail.why.WhyCommand
 import kotlin.system.exitProcess
 
 /** Entry point of `bin/lavendertrailctl`. */
@@ -16,7 +17,8 @@
         "experiment" to ::experimentCommand,
     )
 
-private fun commands(): List<Command> = configCommands() + billCommands() + programCommands() + fleetCommands() + listOf(CapacityCommand())
+private fun commands(): List<Command> =
+    configCommands() + billCommands() + programCommands() + fleetCommands() + listOf(CapacityCommand(), WhyCommand())
 
 /** Runs one command and returns the exit code of the process. */
 internal fun runCtl(
--- a/ctl/src/test/kotlin/lavendertrail/ctl/CommandsTest.kt
+++ b/ctl/src/test/kotlin/lavendertrail/ctl/CommandsTest.kt
@@ -63,7 +63,7 @@
                 .drop(1)
                 .filter { it.isNotBlank() }
                 .map { it.take(20).trim() }
-        assertEquals(20, names.size)
+        assertEquals(21, names.size)
         // load and experiment have parsers of their own, which end the process on --help.
         for (name in names - setOf("load", "experiment")) {
             val ran = admin.ctl(*(name.split(' ') + "--help").toTypedArray())
