Start the relay of turn calls after a process serves

Cause: the server for relayed calls was started with the gateway.

Change: the server starts five seconds after the process, when it first meets other entry hosts, and a change between direct and relayed calls is logged.

The event loop handles connections that are ready before tasks, so the answer could be handled before the task of the drain. The test now waits for that task; what it checks is the same.

--- a/ctl/src/main/kotlin/lavendertrail/why/RequestStory.kt
+++ b/ctl/src/main/kotlin/lavendertrail/why/RequestStory.kt
@@ -18,6 +18,8 @@
         "turn hosts read" to "turn hosts",
         "turn hosts reached" to "way to turn hosts",
         "turn hosts lost" to "way to turn hosts",
+        "turn calls relayed" to "turn calls",
+        "turn calls direct" to "turn calls",
         "settings read" to "settings",
         "log lines dropped" to "log",
     )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package lavendertrail.gateway
 
+import io.grpc.Server
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -47,7 +48,9 @@
     private var ticks = 0L
     private var acceptor: Channel? = null
     private var isDraining = false
+    private var relayServer: Server? = null
     private var wereTurnsReachable = false
+    private var wereTurnsRelayed = false
     private var drainStartedMillis = 0L
     private val turns = TurnClient(group, settings.failureDomain, settings.turnCacheBytes) { log.warn("turn host call failed", it) }
     private val pool = ServerPool(ServerConnector(loop, settings.serverConnectMillis), ::nowMillis)
@@ -78,7 +81,6 @@
                 ).bind(socketAddress(settings.callerAddress))
                 .sync()
                 .channel()
-        settings.relayAddress?.let { startRelayServer(turns.relay, socketAddress(it), group) }
         loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
@@ -135,7 +137,7 @@
         try {
             submit(ClockTicked)
             if (ticks % PROBE_TICKS == 0L) probeTurnHosts()
-            if (ticks % MEET_TICKS == 0L) settings.relayAddress?.let(turns::meet)
+            if (ticks % MEET_TICKS == MEET_TICKS - 1) settings.relayAddress?.let(::meetEntryHosts)
             if (ticks++ % SLOW_TICKS == 0L) {
                 val now = nowMillis()
                 callers.toList().forEach { it.checkTimes(now) }
@@ -147,8 +149,19 @@
         }
     }
 
+    /** The server is started late, since its classes would delay the first requests after a start by a tenth of a second. */
+    private fun meetEntryHosts(relayAddress: String) {
+        if (relayServer == null) relayServer = startRelayServer(turns.relay, socketAddress(relayAddress), group)
+        turns.meet(relayAddress)
+    }
+
     private fun probeTurnHosts() {
         turns.probe()
+        val isRelayed = turns.isRelayed
+        if (isRelayed != wereTurnsRelayed) {
+            wereTurnsRelayed = isRelayed
+            log.event(if (isRelayed) "turn calls relayed" else "turn calls direct") { put("hosts", turns.hosts.hosts.size) }
+        }
         val isReachable = turns.isReachable
         if (isReachable == wereTurnsReachable) return
         wereTurnsReachable = isReachable
@@ -204,7 +217,7 @@
         const val SLOW_TICKS = 10L
         const val PROBE_TICKS = 5L
 
-        /** Every five seconds; other entry hosts change rarely. */
+        /** Every five seconds, the first time five seconds after the start; other entry hosts change rarely. */
         const val MEET_TICKS = 100L
 
         /** The platform asks once a second and takes a process out after two misses. */
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayBench.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayBench.kt
@@ -61,6 +61,11 @@
         return getInputStream().readMessage()
     }
 
+    /** Waits until the gateway's event loop has run all tasks given to it before; it may read connections before them. */
+    fun awaitEarlierTasks() {
+        group.next().submit {}.get()
+    }
+
     override fun close() {
         server.close()
         group.shutdownGracefully()
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayTest.kt
@@ -158,6 +158,7 @@
                 )
                 assertTrue(arrived.await(5, TimeUnit.SECONDS))
                 bench.gateway.drain {}
+                bench.awaitEarlierTasks()
                 release.countDown()
                 val answer = assertNotNull(socket.getInputStream().readMessage())
                 assertEquals("done", answer.second)
