Give hosts with disks a second for their first answers

The hosts were alive; their first answers took longer than 250 ms, with all callers back at once.

Ruled out: a longer limit at all times, which would leave turns waiting for a host that is cut off.

Change: until two seconds after its first answer a host is taken for lost after one second without an answer.

--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -29,6 +29,15 @@
 /** Far beyond a round trip with a disk's sync; a host that is cut off is passed over from then on. */
 private const val SUSPECT_MILLIS = 250L
 
+/**
+ * After a restart of all hosts at once, all callers' requests meet processes whose classes aren't loaded yet. On the recorded
+ * day inc-bf1b all entry hosts took all hosts with disks for lost then, and refused 90 turns.
+ */
+private const val NEW_SUSPECT_MILLIS = 1_000L
+
+/** How long after its first answer a host is taken as new. */
+private const val NEW_MILLIS = 2_000L
+
 /** Calls to one host at [address]. Results arrive on the event loop. */
 internal class TurnPeer(
     val address: String,
@@ -44,9 +53,17 @@
     /** When each call under way was made, oldest first. */
     private val openCalls = LinkedHashMap<Long, Long>()
 
+    private var firstAnswerMillis: Long? = null
+
     /** Whether the host has left its last calls without an answer. */
     val isSuspect: Boolean
-        get() = failuresInRow > 0 || (openCalls.values.firstOrNull()?.let { nowMillis() - it > SUSPECT_MILLIS } ?: false)
+        get() = failuresInRow > 0 || (openCalls.values.firstOrNull()?.let { nowMillis() - it > suspectMillis } ?: false)
+
+    private val suspectMillis: Long
+        get() {
+            val answered = firstAnswerMillis
+            return if (answered == null || nowMillis() - answered < NEW_MILLIS) NEW_SUSPECT_MILLIS else SUSPECT_MILLIS
+        }
 
     fun <Q : Any, R : Any> call(
         method: MethodDescriptor<Q, R>,
@@ -77,6 +94,7 @@
                 override fun onCompleted() {
                     openCalls.remove(number)
                     failuresInRow = 0
+                    firstAnswerMillis = firstAnswerMillis ?: nowMillis()
                     reply?.let { onResult(Ok(it)) }
                 }
             },
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnRelayTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnRelayTest.kt
@@ -64,6 +64,37 @@
         }
     }
 
+    // After a restart of all hosts at once every entry host took the hosts with disks for lost, whose first answers took
+    // longer than 250 ms (recorded day inc-bf1b of valdivieso-ruta).
+    @Test
+    fun `a host that has not answered yet is given a second`() {
+        TurnHostsBench().use { bench ->
+            bench.start("a1", isFirstStart = true)
+            TurnHostsBench.awaitTrue("the host is listed") { bench.listed().size == 1 }
+            val port =
+                bench
+                    .listed()
+                    .single()
+                    .address
+                    .substringAfter(':')
+                    .toInt()
+            LoopbackProxy(port).use { proxy ->
+                proxy.silence()
+                val group = singleEventLoop()
+                val peer = TurnPeer("127.0.0.1:${proxy.port}", group)
+                val started = System.nanoTime()
+                bench.on(group) { peer.call(TurnMethods.chain, ChainRequest("x"), 10_000) {} }
+                Thread.sleep(450)
+                val isSuspect = bench.on(group) { peer.isSuspect }
+                val waitedMillis = (System.nanoTime() - started) / 1_000_000
+                assertTrue(!isSuspect || waitedMillis > 1_000, "suspect after $waitedMillis ms")
+                TurnHostsBench.awaitTrue("suspicion of a host that stays silent") { bench.on(group) { peer.isSuspect } }
+                peer.close()
+                group.shutdownGracefully()
+            }
+        }
+    }
+
     @Test
     fun `a relaying host that is cut off itself says so at once`() {
         var reply: RelayReply? = null
