Carry settlements with the next reservation of their program

Cause: each turn made one call to more than half of the turn hosts to reserve its tokens, and one to all of them to settle. With twelve hosts that is 19 calls per turn for the budget alone; the cost grows with the number of turn hosts.

Change: a settlement waits 300 ms for the next reservation of its program and travels with it. Otherwise it goes to a majority of the hosts, which every later reservation overlaps. A process that shuts down sends its settlements at once.

Ruled out: a fixed group of hosts for each program. It would need fewer calls still, but the removal of two lost hosts in a row would leave a program's use on fewer hosts than a later majority of its group meets.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -125,6 +125,7 @@
             if (isDraining) return@execute
             isDraining = true
             drainStartedAtMillis = nowMillis()
+            turnClient.stopDelayingSettlements()
             loop.scheduleAtFixedRate({ checkDrained(onDone) }, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
         }
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -33,6 +33,10 @@
     private val peersByHost = mutableMapOf<TurnHost, TurnPeer>()
     private val relayedCalls = RelayedCalls(loop)
     private val cache = TurnCache(cacheBytes)
+    private val pendingSettlements = PendingSettlements()
+
+    /** Whether settlements wait for the next reservation of their program; not in a process that is shutting down. */
+    private var delaysSettlements = true
 
     /** Whether enough hosts respond to store turns and budgets. If not, lookups fail at once instead of at their timeout. */
     val isReachable: Boolean get() = hosts.isSufficient && hosts.hosts.count(::isUsable) >= hosts.quorum
@@ -182,7 +186,7 @@
 
     /**
      * Adds a reservation and reports whether the token use of all attempts of the program fits into [budgetTokens], and the
-     * server of the session's last turn if a host knows it.
+     * server of the session's last turn if a host knows it. The call also carries the program's pending settlements.
      */
     fun reserve(
         use: UseRecord,
@@ -194,9 +198,10 @@
         var tally = BudgetTally()
         var recentServerId: String? = null
         var countedReplies = 0
+        val settlements = pendingSettlements.take(use.programId)
         queryHosts(
             TurnMethods.use,
-            use,
+            UseRequest(use, settlements),
             HostQuery(rankedHosts(use.programId), hosts.quorum, timeoutMillis),
             onReply = { reply ->
                 val uses = unpackUses(reply.uses)
@@ -207,6 +212,7 @@
                 if (countedReplies >= hosts.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(isCounted)
             },
             onEnd = {
+                if (countedReplies < hosts.quorum) settlements.forEach(::settle)
                 when {
                     countedReplies < hosts.quorum -> onDone(ReservationResult.UNCERTAIN, null)
                     tally.allows(budgetTokens) -> onDone(ReservationResult.RESERVED, recentServerId)
@@ -216,11 +222,44 @@
         )
     }
 
-    /** Replaces a reservation at all hosts. A host that misses the call keeps counting the reservation, which is never too low. */
+    /**
+     * Replaces a reservation by the tokens that were used. The next reservation of the program usually follows within a few hundred
+     * milliseconds and carries the settlement, which saves calls to a majority of the hosts; otherwise it is sent after
+     * [SETTLE_DELAY_MILLIS].
+     */
     fun settle(use: UseRecord) {
-        for (peer in peersByHost.values) {
-            call(peer, TurnMethods.use, use, SETTLE_TIMEOUT_MILLIS) { result -> result.fold({}, onCallFailure) }
-        }
+        if (!delaysSettlements) return sendSettlements(listOf(use))
+        if (!pendingSettlements.add(use)) return
+        loop.schedule({ sendSettlements(pendingSettlements.take(use.programId)) }, SETTLE_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Sends all pending settlements, and later ones without delay; for a process that is shutting down. */
+    fun stopDelayingSettlements() {
+        delaysSettlements = false
+        pendingSettlements.takeAll().forEach(::sendSettlements)
+    }
+
+    /**
+     * Stores [settlements] of one program at a majority of the hosts. Every later reservation reads at least one of these. A host
+     * that misses the call keeps counting the reservation, which is never too low.
+     */
+    private fun sendSettlements(settlements: List<UseRecord>) {
+        val program = settlements.firstOrNull()?.programId ?: return
+        var storedCount = 0
+        queryHosts(
+            TurnMethods.use,
+            UseRequest(null, settlements),
+            HostQuery(rankedHosts(program), hosts.quorum, SETTLE_TIMEOUT_MILLIS),
+            onReply = { reply ->
+                if (reply.isKept) storedCount++
+                if (storedCount >= hosts.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
+            },
+            onEnd = {
+                if (storedCount < hosts.quorum) {
+                    onCallFailure(StepError("settle", program, "stored by $storedCount of ${hosts.quorum} turn hosts"))
+                }
+            },
+        )
     }
 
     private fun rankedHosts(programId: String): List<TurnHost> =
@@ -314,6 +353,9 @@
 
         const val SETTLE_TIMEOUT_MILLIS = 1_000L
 
+        /** Longer than most pauses between turns. With a round trip it stays below one second, within which uses must be settled. */
+        const val SETTLE_DELAY_MILLIS = 300L
+
         /** Bounds the time until a host that responds again is used, to about half a second. */
         const val PROBE_TIMEOUT_MILLIS = 400L
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -26,7 +26,14 @@
     val isComplete: Boolean,
 )
 
-/** [uses] are those of the program, packed by [packUses]; empty in the reply to a settled use, whose sender ignores them. */
+/** Uses of one program: settlements of finished attempts, and the reservation of a new one, if any. */
+@Serializable
+internal class UseRequest(
+    val reservation: UseRecord?,
+    val settlements: List<UseRecord> = emptyList(),
+)
+
+/** [uses] are those of the program, packed by [packUses]; empty in the reply to a request without a reservation. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class UseReply(
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -19,7 +19,7 @@
 internal object TurnMethods {
     val keep = unary("Keep", TurnRecord.serializer(), KeepReply.serializer())
     val chain = unary("Chain", ChainRequest.serializer(), ChainReply.serializer())
-    val use = unary("Use", UseRecord.serializer(), UseReply.serializer())
+    val use = unary("Use", UseRequest.serializer(), UseReply.serializer())
     val fetch = unary("Fetch", FetchRequest.serializer(), FetchReply.serializer())
     val offer = unary("Offer", OfferRequest.serializer(), KeepReply.serializer())
     val meet = unary("Meet", MeetRequest.serializer(), MeetReply.serializer())
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -84,17 +84,18 @@
         return ChainReply(turnsFound, isComplete)
     }
 
-    fun storeUse(
-        use: UseRecord,
+    fun storeUses(
+        request: UseRequest,
         onReply: (UseReply) -> Unit,
     ) {
-        if (isSealed) return onReply(UseReply(isKept = false, uses = ByteArray(0), isComplete = false))
-        val record = StoredRecord(use = use)
-        addToMemory(record)
-        val packed = if (use.isSettled) ByteArray(0) else packUses(uses[use.programId].orEmpty().values)
+        val reservation = request.reservation
+        val records = (request.settlements + listOfNotNull(reservation)).map { StoredRecord(use = it) }
+        if (isSealed || records.isEmpty()) return onReply(UseReply(isKept = false, uses = ByteArray(0), isComplete = false))
+        records.forEach(::addToMemory)
+        val packed = if (reservation == null) ByteArray(0) else packUses(uses[reservation.programId].orEmpty().values)
         val wasComplete = isComplete
-        val recentServerId = recentServers[use.programId]?.forSession(use.sessionId)
-        appendToLog(record) { isStored -> onReply(UseReply(isStored, packed, wasComplete, recentServerId)) }
+        val recentServerId = reservation?.let { recentServers[it.programId]?.forSession(it.sessionId) }
+        appendAllToLog(records) { areStored -> onReply(UseReply(areStored, packed, wasComplete, recentServerId)) }
     }
 
     fun readCopyPage(request: CopyRequest): CopyPage {
@@ -155,15 +156,8 @@
     ) {
         val newRecords = records.filter { !isExpired(it) && isNew(it) }
         if (newRecords.isEmpty()) return onDone(true)
-        var remaining = newRecords.size
-        var allStored = true
-        for (record in newRecords) {
-            addToMemory(record)
-            appendToLog(record) { isStored ->
-                allStored = allStored && isStored
-                if (--remaining == 0) onDone(allStored)
-            }
-        }
+        newRecords.forEach(::addToMemory)
+        appendAllToLog(newRecords, onDone)
     }
 
     /** Removes expired records from memory. */
@@ -205,6 +199,21 @@
         }
     }
 
+    /** Reports whether all of [records], at least one, are on disk. */
+    private fun appendAllToLog(
+        records: List<StoredRecord>,
+        onStored: (Boolean) -> Unit,
+    ) {
+        var remaining = records.size
+        var allStored = true
+        for (record in records) {
+            appendToLog(record) { isStored ->
+                allStored = allStored && isStored
+                if (--remaining == 0) onStored(allStored)
+            }
+        }
+    }
+
     private fun appendToLog(
         record: StoredRecord,
         onStored: (Boolean) -> Unit,
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -63,7 +63,7 @@
         .addMethod(TurnMethods.meet, unaryHandler { request, reply -> reply(MeetReply(entryHosts.announce(request.relayAddress))) })
         .addMethod(TurnMethods.keep, unaryHandler(repository::storeTurn))
         .addMethod(TurnMethods.chain, unaryHandler { request, reply -> reply(repository.readChain(request)) })
-        .addMethod(TurnMethods.use, unaryHandler(repository::storeUse))
+        .addMethod(TurnMethods.use, unaryHandler(repository::storeUses))
         .addMethod(TurnMethods.fetch, unaryHandler { request, reply -> reply(repository.fetchTurns(request)) })
         .addMethod(TurnMethods.offer, unaryHandler { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } })
         .addMethod(TurnMethods.copy, unaryHandler { request, reply -> reply(repository.readCopyPage(request)) })
