Tell late copies of a server's response apart and bound a response

Cause: a server that refused a request may send the refusal a second time. If the next attempt of the same request used the same connection, the copy had its attempt id and was taken for its answer; the request then ran twice. A response without an attempt id was accepted on any connection.

Change: an attempt never uses a connection whose latest request had the same attempt id, a response without an id counts only for the first request of a connection, and a connection is closed after 8 MB received for one request.

Ruled out: heads without end, which the decoder already limits.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -105,7 +105,7 @@
         exchange.currentAttempt = attempt
         exchange.attemptCount++
         exchange.lastServerId = effect.server.id
-        pool.acquire(effect.server) { result ->
+        pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
                 if (attempt.isCancelled) connection.abandon() else writeRequest(exchange, attempt, connection)
             }, { error ->
@@ -134,7 +134,7 @@
                 headers,
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders(),
             )
-        connection.send(request, responseListener(exchange, attempt, connection))
+        connection.send(request, responseListener(exchange, attempt, connection), exchange.request.attemptId)
     }
 
     private fun responseListener(
@@ -161,7 +161,9 @@
         head: HttpResponse,
     ): Boolean {
         val responseHead = protocol.decodeResponseHead(head)
-        if (responseHead.attemptId != null && responseHead.attemptId != exchange.request.attemptId) return false
+        val belongsToRequest = responseHead.attemptId == exchange.request.attemptId
+        val isUnidentified = responseHead.attemptId == null && !connection.isReused
+        if (!belongsToRequest && !isUnidentified) return false
         if (!responseHead.hasServerMark && head.status().codeClass() == HttpStatusClass.SUCCESS) {
             connection.abandon()
             val reason = "success response without the header that marks responses of backend servers"
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
@@ -19,7 +19,8 @@
  * An HTTP/1.1 client connection to a server, with one request at a time.
  *
  * Data that arrives while no request is in flight closes the connection, since it can't be attributed to a request. A response
- * that is delimited by the end of the connection is complete only if the connection was closed normally, not reset.
+ * that is delimited by the end of the connection is complete only if the connection was closed normally, not reset. A faulty
+ * server may go on sending until the connection is closed, so the bytes that are read for one request are limited.
  */
 internal class ServerConnection(
     private val onReusable: (ServerConnection) -> Unit,
@@ -28,11 +29,20 @@
         private set
     var idleSinceMillis = 0L
     var keepAliveMillis: Long? = null
+
+    /** The attempt id of the latest request. A second copy of its response may still arrive. */
+    var lastAttemptId: String? = null
+        private set
+
+    /** Whether an earlier request was sent, a surplus response to which may arrive in place of the expected one. */
+    var isReused = false
+        private set
     private var listener: ResponseListener? = null
     private var isSkippingResponse = false
     private var isInformational = false
     private var closesAfterResponse = false
     private var hasSkippedResponse = false
+    private var receivedBytes = 0L
 
     val isUsable: Boolean get() = channel.isActive && listener == null && !closesAfterResponse
 
@@ -43,8 +53,12 @@
     fun send(
         request: DefaultFullHttpRequest,
         listener: ResponseListener,
+        attemptId: String? = null,
     ) {
         this.listener = listener
+        isReused = lastAttemptId != null
+        lastAttemptId = attemptId
+        receivedBytes = 0
         channel.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) fail("write failed: ${written.cause()}")
         }
@@ -76,6 +90,8 @@
     private fun read(message: HttpObject) {
         if (message is HttpResponse) readHead(message)
         if (message is HttpContent) {
+            receivedBytes += message.content().readableBytes()
+            if (receivedBytes > MAX_RECEIVED_BYTES) return fail("response exceeds $MAX_RECEIVED_BYTES bytes")
             if (!isInformational && !isSkippingResponse) readContent(message.content())
             if (message is LastHttpContent) endResponse()
         }
@@ -126,4 +142,9 @@
         channel.close()
         failed.onFailure(reason)
     }
+
+    private companion object {
+        /** Many times the size of a valid response, and a small part of the heap of an entry host. */
+        const val MAX_RECEIVED_BYTES = 8_000_000L
+    }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerPool.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerPool.kt
@@ -15,12 +15,16 @@
 ) {
     private val idleConnections = mutableMapOf<String, ArrayDeque<ServerConnection>>()
 
-    /** Passes an open connection to [server] to [onResult], or the error of a failed connection attempt. */
+    /**
+     * Passes an open connection to [server] to [onResult], or the error of a failed connection attempt. A connection whose latest
+     * request had the same [attemptId] is not used: a late copy of its response would be taken for that of the new request.
+     */
     fun acquire(
         server: BackendServer,
+        attemptId: String,
         onResult: (Result<ServerConnection, StepError>) -> Unit,
     ) {
-        val reused = takeIdle(server.id)
+        val reused = takeIdle(server.id, attemptId)
         if (reused != null) return onResult(Ok(reused))
         connector.connect(server.address, { addIdle(server.id, it) }, onResult)
     }
@@ -36,15 +40,19 @@
         }
     }
 
-    private fun takeIdle(serverId: String): ServerConnection? {
+    private fun takeIdle(
+        serverId: String,
+        attemptId: String,
+    ): ServerConnection? {
         val connections = idleConnections[serverId] ?: return null
-        while (connections.isNotEmpty()) {
+        while (true) {
             // The most recently used connection is the least likely to be closed by the server.
-            val connection = connections.removeLast()
+            val index = connections.indexOfLast { it.lastAttemptId != attemptId }
+            if (index < 0) return null
+            val connection = connections.removeAt(index)
             if (connection.isUsable && connection.isWithinKeepAlive()) return connection
             connection.abandon()
         }
-        return null
     }
 
     private fun addIdle(
--- a/gateway/src/test/kotlin/lavendertrail/gateway/ScriptedServer.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/ScriptedServer.kt
@@ -1,10 +1,13 @@
 package lavendertrail.gateway
 
+import java.io.IOException
 import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 /** A backend server that responds to each request with the text that [respond] returns; null closes the connection. */
@@ -17,6 +20,10 @@
     /** Heads and bodies of the received requests in the order of arrival. */
     val requests = CopyOnWriteArrayList<Pair<String, String>>()
 
+    /** Bytes written after a response text with [ENDLESS_MARKER], until [endlessResponseEnded]. */
+    val fillerBytes = AtomicLong()
+    val endlessResponseEnded = CountDownLatch(1)
+
     init {
         thread(isDaemon = true) {
             while (!socket.isClosed) {
@@ -31,13 +38,31 @@
             val (head, body) = connection.getInputStream().readMessage() ?: return
             requests += head to body
             val text = respond(head, body) ?: return
-            connection.getOutputStream().write(text.removeSuffix(CLOSE_MARKER).toByteArray())
+            connection.getOutputStream().write(text.removeSuffix(CLOSE_MARKER).removeSuffix(ENDLESS_MARKER).toByteArray())
             connection.getOutputStream().flush()
+            if (text.endsWith(ENDLESS_MARKER)) return writeUntilClosed(connection)
             if (text.endsWith(CLOSE_MARKER)) return
         }
     }
 
+    private fun writeUntilClosed(connection: Socket) {
+        val filler = ByteArray(FILLER_BYTES) { 'x'.code.toByte() }
+        try {
+            while (true) {
+                connection.getOutputStream().write(filler)
+                fillerBytes.addAndGet(filler.size.toLong())
+            }
+        } catch (_: IOException) {
+            // The gateway has closed the connection.
+            endlessResponseEnded.countDown()
+        }
+    }
+
     override fun close() = socket.close()
+
+    private companion object {
+        const val FILLER_BYTES = 8_192
+    }
 }
 
 /** Reads one HTTP message with a fixed-length or chunked body; null at the end of the connection. */
@@ -69,5 +94,8 @@
     return text.toString()
 }
 
+/** Suffix of a scripted response that the server continues with arbitrary bytes until the connection is closed. */
+internal const val ENDLESS_MARKER = "\u0001"
+
 /** Suffix of a scripted response after which the server closes the connection. */
 internal const val CLOSE_MARKER = "\u0000"
