Send all calls to a turn host over one gRPC stream

Change: calls travel as frames with a number on one bidirectional stream per host. A call that gets no reply replaces the stream; calls that are pending on the old one may still complete.

--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -15,8 +15,13 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal val turnCbor = Cbor { ignoreUnknownKeys = true }
 
-/** The gRPC methods of entry hosts and turn hosts, with CBOR messages. */
+/**
+ * The calls between entry hosts and turn hosts, with CBOR messages. All calls to a host share one [session] stream, because the
+ * headers and trailers of a gRPC call of its own cost several times as much processor time as the messages.
+ */
 internal object TurnMethods {
+    val session: MethodDescriptor<CallFrame, CallFrame> =
+        method("Session", CallFrameMarshaller, CallFrameMarshaller, MethodDescriptor.MethodType.BIDI_STREAMING)
     val keep = unary("Keep", TurnRecord.serializer(), KeepReply.serializer())
     val chain = unary("Chain", ChainRequest.serializer(), ChainReply.serializer())
     val use = unary("Use", UseRequest.serializer(), UseReply.serializer())
@@ -43,11 +48,12 @@
         name: String,
         request: MethodDescriptor.Marshaller<Q>,
         reply: MethodDescriptor.Marshaller<R>,
+        type: MethodDescriptor.MethodType = MethodDescriptor.MethodType.UNARY,
     ): MethodDescriptor<Q, R> =
         MethodDescriptor
             .newBuilder(request, reply)
             .setFullMethodName(MethodDescriptor.generateFullMethodName(TURN_SERVICE_NAME, name))
-            .setType(MethodDescriptor.MethodType.UNARY)
+            .setType(type)
             .build()
 
     private object ByteArrayMarshaller : MethodDescriptor.Marshaller<ByteArray> {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -3,10 +3,12 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import io.grpc.CallOptions
 import io.grpc.ManagedChannel
 import io.grpc.MethodDescriptor
 import io.grpc.Status
+import io.grpc.StatusRuntimeException
 import io.grpc.netty.NettyChannelBuilder
 import io.grpc.stub.ClientCalls
 import io.grpc.stub.StreamObserver
@@ -16,6 +18,7 @@
 import lavendertrail.gateway.nowMillis
 import lavendertrail.gateway.socketAddress
 import lavendertrail.model.StepError
+import java.io.ByteArrayInputStream
 import java.net.InetSocketAddress
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executor
@@ -45,7 +48,8 @@
     private val loop: EventLoopGroup,
     private val resolveAddress: (address: String) -> InetSocketAddress = ::socketAddress,
 ) : AutoCloseable {
-    private var channel: ManagedChannel = newChannel()
+    /** Carries all calls; null before the first call and after a failure. */
+    private var session: Session? = null
 
     /** Number of failed calls since the last successful one. */
     private var consecutiveFailures = 0
@@ -75,34 +79,86 @@
         timeoutMillis: Long,
         onResult: (Result<R, StepError>) -> Unit,
     ) {
-        val callChannel = channel
+        val name = method.bareMethodName.orEmpty()
         val number = nextCallNumber++
+        val callSession = session ?: Session().also { session = it }
         callStartMillis[number] = nowMillis()
-        val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
-        ClientCalls.asyncUnaryCall(
-            callChannel.newCall(method, options),
-            request,
-            object : StreamObserver<R> {
-                private var reply: R? = null
-
-                override fun onNext(value: R) {
-                    reply = value
-                }
-
-                override fun onError(error: Throwable) {
-                    callStartMillis.remove(number)
-                    recordFailure(callChannel, error)
-                    onResult(Err(StepError(method.bareMethodName.orEmpty(), address, error.toString())))
-                }
-
-                override fun onCompleted() {
-                    callStartMillis.remove(number)
-                    consecutiveFailures = 0
-                    firstReplyMillis = firstReplyMillis ?: nowMillis()
-                    reply?.let { onResult(Ok(it)) }
-                }
-            },
-        )
+        val timeout = loop.schedule({ callSession.fail(number, timeoutError(timeoutMillis)) }, timeoutMillis, TimeUnit.MILLISECONDS)
+        callSession.send(CallFrame(number, name, method.streamRequest(request).readAllBytes())) { result ->
+            timeout.cancel(false)
+            callStartMillis.remove(number)
+            onResult(result.fold({ decodeReply(method, it) }, { Err(StepError(name, address, it.toString())) }))
+        }
+    }
+
+    private fun <Q : Any, R : Any> decodeReply(
+        method: MethodDescriptor<Q, R>,
+        frame: CallFrame,
+    ): Result<R, StepError> =
+        try {
+            if (frame.isFailed) {
+                Err(StepError(frame.method, address, "the host did not handle the request"))
+            } else {
+                Ok(method.parseResponse(ByteArrayInputStream(frame.payload)))
+            }
+        } catch (e: StatusRuntimeException) {
+            Err(StepError(frame.method, address, e.toString()))
+        }
+
+    private fun timeoutError(timeoutMillis: Long) =
+        Status.DEADLINE_EXCEEDED.withDescription("no reply within $timeoutMillis ms").asRuntimeException()
+
+    /** The calls on one connection. A session that is no longer current ends when its last call has ended. */
+    private inner class Session : StreamObserver<CallFrame> {
+        private val channel: ManagedChannel = newChannel()
+        private val pendingCalls = LinkedHashMap<Long, (Result<CallFrame, Throwable>) -> Unit>()
+        private val requests = ClientCalls.asyncBidiStreamingCall(channel.newCall(TurnMethods.session, CallOptions.DEFAULT), this)
+
+        fun send(
+            frame: CallFrame,
+            onReply: (Result<CallFrame, Throwable>) -> Unit,
+        ) {
+            pendingCalls[frame.callId] = onReply
+            requests.onNext(frame)
+        }
+
+        override fun onNext(frame: CallFrame) {
+            val onReply = pendingCalls.remove(frame.callId) ?: return
+            consecutiveFailures = 0
+            firstReplyMillis = firstReplyMillis ?: nowMillis()
+            closeIfUnused()
+            onReply(Ok(frame))
+        }
+
+        /** Ends the call [number] with [error]. */
+        fun fail(
+            number: Long,
+            error: Throwable,
+        ) {
+            val onReply = pendingCalls.remove(number) ?: return
+            recordFailure(this)
+            closeIfUnused()
+            onReply(Err(error))
+        }
+
+        override fun onError(error: Throwable) {
+            val failedCalls = pendingCalls.values.toList()
+            pendingCalls.clear()
+            recordFailure(this)
+            closeIfUnused()
+            failedCalls.forEach { it(Err(error)) }
+        }
+
+        override fun onCompleted() = onError(Status.UNAVAILABLE.withDescription("session ended by the host").asRuntimeException())
+
+        /** Pending calls on an old connection may still complete. */
+        private fun closeIfUnused() {
+            if (session !== this && pendingCalls.isEmpty()) close()
+        }
+
+        fun close() {
+            channel.shutdownNow()
+        }
     }
 
     /** Makes a call and waits for its result; must not be called on the thread of [loop]. */
@@ -119,17 +175,9 @@
     }
 
     /** Replaces the connection after a call that got no reply, since a connection may be dead while new ones would work. */
-    private fun recordFailure(
-        callChannel: ManagedChannel,
-        error: Throwable,
-    ) {
+    private fun recordFailure(failedSession: Session) {
         consecutiveFailures++
-        val code = Status.fromThrowable(error).code
-        val mayBeDead = code == Status.Code.UNAVAILABLE || code == Status.Code.DEADLINE_EXCEEDED
-        if (!mayBeDead || channel !== callChannel) return
-        channel = newChannel()
-        // Pending calls on the old connection may still complete.
-        callChannel.shutdown()
+        if (session === failedSession) session = null
     }
 
     private fun newChannel(): ManagedChannel =
@@ -147,6 +195,6 @@
             .build()
 
     override fun close() {
-        channel.shutdownNow()
+        session?.close()
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -3,6 +3,7 @@
 import io.grpc.Server
 import io.grpc.ServerServiceDefinition
 import io.grpc.netty.NettyServerBuilder
+import io.grpc.stub.ServerCallStreamObserver
 import io.grpc.stub.ServerCalls
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -19,25 +20,18 @@
     repository: TurnRepository,
     address: InetSocketAddress,
     loop: EventLoopGroup,
-): Server = startServer(turnService(repository), address, loop)
+): Server = startCallServer(turnHandlers(repository), address, loop)
 
 /** Serves [relay] to other entry hosts on [address]. All handlers run on [loop]. */
 internal fun startRelayServer(
     relay: TurnRelay,
     address: InetSocketAddress,
     loop: EventLoopGroup,
-): Server =
-    startServer(
-        ServerServiceDefinition
-            .builder(TURN_SERVICE_NAME)
-            .addMethod(TurnMethods.relay, unaryHandler(relay::forward))
-            .build(),
-        address,
-        loop,
-    )
+): Server = startCallServer(mapOf(callHandler(TurnMethods.relay, relay::forward)), address, loop)
 
-private fun startServer(
-    service: ServerServiceDefinition,
+/** Serves calls with [handlers], by bare method name, on [address]. */
+internal fun startCallServer(
+    handlers: Map<String, CallHandler>,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server =
@@ -52,28 +46,27 @@
         .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .permitKeepAliveTime(KEEP_ALIVE_MILLIS / 2, TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(service)
+        .addService(sessionService(handlers))
         .build()
         .start()
 
-private fun turnService(repository: TurnRepository): ServerServiceDefinition {
-    val entryHosts = EntryHosts(::nowMillis)
-    return ServerServiceDefinition
+private fun sessionService(handlers: Map<String, CallHandler>): ServerServiceDefinition =
+    ServerServiceDefinition
         .builder(TURN_SERVICE_NAME)
-        .addMethod(TurnMethods.meet, unaryHandler { request, reply -> reply(MeetReply(entryHosts.announce(request.relayAddress))) })
-        .addMethod(TurnMethods.keep, unaryHandler(repository::storeTurn))
-        .addMethod(TurnMethods.chain, unaryHandler { request, reply -> reply(repository.readChain(request)) })
-        .addMethod(TurnMethods.use, unaryHandler(repository::storeUses))
-        .addMethod(TurnMethods.fetch, unaryHandler { request, reply -> reply(repository.fetchTurns(request)) })
-        .addMethod(TurnMethods.offer, unaryHandler { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } })
-        .addMethod(TurnMethods.copy, unaryHandler { request, reply -> reply(repository.readCopyPage(request)) })
-        .build()
-}
+        .addMethod(
+            TurnMethods.session,
+            ServerCalls.asyncBidiStreamingCall { ServedSession(handlers, it as ServerCallStreamObserver<CallFrame>) },
+        ).build()
 
-private fun <Q : Any, R : Any> unaryHandler(handle: (Q, (R) -> Unit) -> Unit) =
-    ServerCalls.asyncUnaryCall<Q, R> { request, observer ->
-        handle(request) { reply ->
-            observer.onNext(reply)
-            observer.onCompleted()
-        }
-    }
+private fun turnHandlers(repository: TurnRepository): Map<String, CallHandler> {
+    val entryHosts = EntryHosts(::nowMillis)
+    return mapOf(
+        callHandler(TurnMethods.meet) { request, reply -> reply(MeetReply(entryHosts.announce(request.relayAddress))) },
+        callHandler(TurnMethods.keep, repository::storeTurn),
+        callHandler(TurnMethods.chain) { request, reply -> reply(repository.readChain(request)) },
+        callHandler(TurnMethods.use, repository::storeUses),
+        callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
+        callHandler(TurnMethods.offer) { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } },
+        callHandler(TurnMethods.copy) { request, reply -> reply(repository.readCopyPage(request)) },
+    )
+}
--- a/gateway/src/test/kotlin/lavendertrail/turns/CountingTurnHosts.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/CountingTurnHosts.kt
@@ -1,15 +1,11 @@
 package lavendertrail.turns
 
 import io.grpc.Server
-import io.grpc.ServerServiceDefinition
-import io.grpc.netty.NettyServerBuilder
-import io.grpc.stub.ServerCalls
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import lavendertrail.gateway.singleEventLoop
+import lavendertrail.gateway.socketAddress
 import lavendertrail.model.FailureDomain
 import lavendertrail.serving.TurnHost
 import lavendertrail.standins.freePorts
-import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -38,35 +34,19 @@
 
     private fun startHost(host: TurnHost): Server {
         val uses = usesByHost.getOrPut(host.name) { ConcurrentHashMap() }
-        val service =
-            ServerServiceDefinition
-                .builder(TURN_SERVICE_NAME)
-                .addMethod(
-                    TurnMethods.use,
-                    ServerCalls.asyncUnaryCall { request, observer ->
-                        useCalls.incrementAndGet()
-                        (request.settlements + listOfNotNull(request.reservation)).forEach { uses[it.attemptId] = it }
-                        observer.onNext(UseReply(isKept = true, uses = packUses(uses.values), isComplete = true))
-                        observer.onCompleted()
-                    },
-                ).addMethod(
-                    TurnMethods.keep,
-                    ServerCalls.asyncUnaryCall { _, observer ->
-                        keepCalls.incrementAndGet()
-                        observer.onNext(KeepReply(isKept = true))
-                        observer.onCompleted()
-                    },
-                ).build()
-        val port = host.address.substringAfter(':').toInt()
-        return NettyServerBuilder
-            .forAddress(InetSocketAddress("127.0.0.1", port))
-            .bossEventLoopGroup(group)
-            .workerEventLoopGroup(group)
-            .channelType(NioServerSocketChannel::class.java)
-            .directExecutor()
-            .addService(service)
-            .build()
-            .start()
+        val handlers =
+            mapOf(
+                callHandler(TurnMethods.use) { request, reply ->
+                    useCalls.incrementAndGet()
+                    (request.settlements + listOfNotNull(request.reservation)).forEach { uses[it.attemptId] = it }
+                    reply(UseReply(isKept = true, uses = packUses(uses.values), isComplete = true))
+                },
+                callHandler(TurnMethods.keep) { _, reply ->
+                    keepCalls.incrementAndGet()
+                    reply(KeepReply(isKept = true))
+                },
+            )
+        return startCallServer(handlers, socketAddress(host.address), group)
     }
 
     override fun close() {
