Check a turn host's live entry in the write that removes it

Cause: a turn host removes another one whose live entry has been missing for 2.2 s in its copy of the store. After a pause of some seconds that copy is old, while the list's revision may be unchanged, so the write removed a host that had registered again meanwhile.

Change: the write is a transaction that also requires the live entry not to exist.

--- a/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
@@ -24,6 +24,7 @@
     private val ownHost: TurnHost,
     private val tolerance: Int,
     private val log: StructuredLog,
+    private val nowMillis: () -> Long = ::nowMillis,
 ) {
     private var leaseId: Long? = null
     private val missingSinceMillis = mutableMapOf<String, Long>()
@@ -56,7 +57,7 @@
         // Hosts are removed one at a time: quorums of entry hosts whose lists differ by one host still overlap for every budget.
         val removedHost = deadHosts.firstOrNull() ?: return
         if (liveHostCount < 2 * tolerance + 1 || live.minOrNull() != ownHost.name) return
-        directory.write(listing.hosts - removedHost, listing.revision).fold({ isWritten ->
+        directory.removeDeadHost(removedHost, listing).fold({ isWritten ->
             if (isWritten) log.event("turn host removed") { put("host", removedHost.name) }
         }, { log.warn("turn host removal failed", it) })
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnHostDirectory.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnHostDirectory.kt
@@ -43,6 +43,16 @@
         revision: Long,
     ): Result<Boolean, StepError> = service.swap(KEY, revision, encode(hosts)).map { it.won }
 
+    /**
+     * Removes [host] from [listing]; false if the list has changed since, or if the host's live entry exists. The store checks the
+     * entry together with the list, so a process that was paused can't remove a host that has come back meanwhile.
+     */
+    public fun removeDeadHost(
+        host: TurnHost,
+        listing: TurnHostListing,
+    ): Result<Boolean, StepError> =
+        service.swapWhileAbsent(KEY, listing.revision, encode(listing.hosts - host), LIVE_PREFIX + host.name).map { it.won }
+
     public companion object {
         public const val KEY: String = "lavendertrail/turn-hosts"
 
--- a/node/src/main/kotlin/lavendertrail/node/MeteredKeyValueService.kt
+++ b/node/src/main/kotlin/lavendertrail/node/MeteredKeyValueService.kt
@@ -38,6 +38,13 @@
         leaseId: Long?,
     ): Result<SwapAnswer, StepError> = metered("swap") { service.swap(key, expectedRevision, value, leaseId) }
 
+    override fun swapWhileAbsent(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        absentKey: String,
+    ): Result<SwapAnswer, StepError> = metered("swap") { service.swapWhileAbsent(key, expectedRevision, value, absentKey) }
+
     override fun delete(
         key: String,
         expectedRevision: Long,
--- a/ports/src/main/kotlin/lavendertrail/adapters/HttpKeyValueService.kt
+++ b/ports/src/main/kotlin/lavendertrail/adapters/HttpKeyValueService.kt
@@ -42,6 +42,21 @@
         expectedRevision: Long,
         value: String,
         leaseId: Long?,
+    ): Result<SwapAnswer, StepError> = swap(key, expectedRevision, value, leaseId, absentKey = null)
+
+    override fun swapWhileAbsent(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        absentKey: String,
+    ): Result<SwapAnswer, StepError> = swap(key, expectedRevision, value, leaseId = null, absentKey)
+
+    private fun swap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        leaseId: Long?,
+        absentKey: String?,
     ): Result<SwapAnswer, StepError> {
         val put =
             buildJsonObject {
@@ -49,7 +64,7 @@
                 put("value", value.toBase64())
                 if (leaseId != null) put("lease", leaseId.toString())
             }
-        return post("key-value swap", "/v3/kv/txn", transaction(key, expectedRevision, singleField("request_put", put)))
+        return post("key-value swap", "/v3/kv/txn", transaction(key, expectedRevision, singleField("request_put", put), absentKey))
             .map { it.toSwapAnswer { revision -> KeyValue(key, value, revision) } }
     }
 
@@ -107,9 +122,10 @@
         key: String,
         expectedRevision: Long,
         operation: JsonObject,
+        absentKey: String? = null,
     ): JsonObject =
         buildJsonObject {
-            put("compare", JsonArray(listOf(compare(key, expectedRevision))))
+            put("compare", JsonArray(listOf(compare(key, expectedRevision)) + listOfNotNull(absentKey).map { compare(it, 0) }))
             put("success", JsonArray(listOf(operation)))
             put("failure", JsonArray(listOf(singleField("request_range", keyObject(key)))))
         }
--- a/ports/src/main/kotlin/lavendertrail/ports/KeyValueService.kt
+++ b/ports/src/main/kotlin/lavendertrail/ports/KeyValueService.kt
@@ -20,6 +20,14 @@
         leaseId: Long? = null,
     ): Result<SwapAnswer, StepError>
 
+    /** A [swap] that is applied only if [absentKey] doesn't exist at that moment. */
+    public fun swapWhileAbsent(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        absentKey: String,
+    ): Result<SwapAnswer, StepError>
+
     public fun delete(
         key: String,
         expectedRevision: Long,
--- a/standins/src/main/kotlin/lavendertrail/standins/KeyValueStandin.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/KeyValueStandin.kt
@@ -92,6 +92,16 @@
             KeyValue(key, value, revision)
         }
 
+    override fun swapWhileAbsent(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        absentKey: String,
+    ): Result<SwapAnswer, StepError> =
+        compareAndApply("key-value swap", key, expectedRevision, KeyValueOperation.Put(key, value, null), absentKey) { revision ->
+            KeyValue(key, value, revision)
+        }
+
     override fun delete(
         key: String,
         expectedRevision: Long,
@@ -165,10 +175,18 @@
         key: String,
         expectedRevision: Long,
         operation: KeyValueOperation,
+        absentKey: String? = null,
         valueAfterWrite: (Long) -> KeyValue?,
     ): Result<SwapAnswer, StepError> =
         call(step, writes, isWrite = true) {
-            transact(listOf(key to expectedRevision), listOf(operation), listOf(KeyValueOperation.Read(KeyRange(key, null))))
+            transact(
+                listOf(key to expectedRevision) +
+                    listOfNotNull(absentKey).map {
+                        it to 0L
+                    },
+                listOf(operation),
+                listOf(KeyValueOperation.Read(KeyRange(key, null))),
+            )
         }.map { answer ->
             val current =
                 if (answer.succeeded) {
--- a/standins/src/test/kotlin/lavendertrail/standins/KeyValueServiceContract.kt
+++ b/standins/src/test/kotlin/lavendertrail/standins/KeyValueServiceContract.kt
@@ -43,6 +43,19 @@
         assertEquals(SwapAnswer(false, null), swap("none", 7, "x"))
     }
 
+    /** Guards against a writer that acts on the absence of a key that exists again. */
+    @Test
+    fun `a swap while another key is absent wins only if that key does not exist`() {
+        val revision = assertNotNull(swap("list", 0, "a,b").current).revision
+        swap("live/b", 0, "x")
+        assertEquals(false, service.swapWhileAbsent("list", revision, "a", "live/b").getOrElse { error(it) }.won)
+        assertEquals("a,b", service.get("list").getOrElse { error(it) }?.value)
+        assertEquals(false, service.swapWhileAbsent("list", revision + 9, "a", "live/c").getOrElse { error(it) }.won)
+        val swapped = service.swapWhileAbsent("list", revision, "a", "live/c").getOrElse { error(it) }
+        assertTrue(swapped.won)
+        assertEquals(swapped.current, service.get("list").getOrElse { error(it) })
+    }
+
     @Test
     fun `a delete wins only at the expected revision`() {
         val revision = assertNotNull(swap("a", 0, "one").current).revision
