Pause the watch of the platform's store between batches of changes

Cause: servers renew their entries about every 1.2 s.

Ruled out: a watch on fewer keys; the changes are those of the servers.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -13,11 +13,14 @@
 /**
  * Reports all entries of the platform's key-value store and their changes: lists the entries, then watches from the revision
  * of the list. When a watch ends, all entries are listed again, so that no change in between is missed.
+ *
+ * With [pauseMillis], the watcher waits after each batch of changes, so that the next call returns the changes of that time together.
  */
 public class StoreWatcher(
     private val service: KeyValueService,
     private val log: StructuredLog,
     private val listener: StoreListener,
+    private val pauseMillis: Long = 0,
 ) : AutoCloseable {
     @Volatile
     private var isClosed = false
@@ -43,13 +46,19 @@
         listener.onSnapshot(snapshot)
         val watchEnded = CountDownLatch(1)
         val watch =
-            service.watch("", snapshot.revision, WATCH_IDLE_TIMEOUT_MILLIS, listener.onBatch) { error ->
+            service.watch("", snapshot.revision, WATCH_IDLE_TIMEOUT_MILLIS, ::handleBatch) { error ->
                 log.warn("store watch ended", error)
                 watchEnded.countDown()
             }
         watch.use { watchEnded.await() }
     }
 
+    /** Called on a thread of the watch, which makes its next call afterwards. */
+    private fun handleBatch(batch: WatchBatch) {
+        listener.onBatch(batch)
+        if (pauseMillis > 0) Thread.sleep(pauseMillis)
+    }
+
     private fun handleListFailure(error: StepError) {
         log.warn("store list failed", error)
         updateReachability(false, error)
@@ -88,3 +97,15 @@
 
 /** Returns the entry with [key], or null if the snapshot doesn't contain it. */
 public fun KeyValueSnapshot.entry(key: String): KeyValue? = entries.firstOrNull { it.key == key }
+
+/**
+ * The pause of a watch between batches of changes. Servers renew their entries about once a second, so with many servers every
+ * call returns at once, and the number of calls grows with the number of hosts. The pause uses a quarter of the time within which
+ * a configuration must be in force, or a server that leaves must receive no new requests.
+ */
+public fun storeWatchPauseMillis(
+    configBoundMillis: Long,
+    drainBoundMillis: Long,
+): Long = minOf(configBoundMillis, drainBoundMillis) / WATCH_PAUSE_DIVISOR
+
+private const val WATCH_PAUSE_DIVISOR = 4
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -32,7 +32,7 @@
             log.event("disk failed") { put("error", message) }
         }
     private val mirror = StoreMirror()
-    private val watcher = StoreWatcher(service, log, mirror.listener())
+    private val watcher = StoreWatcher(service, log, mirror.listener(), settings.storeWatchPauseMillis)
     private val directory = TurnHostDirectory(service, mirror)
     private val copier = TurnCopier(ownHost, repository, group)
     private var server: Server? = null
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStoreSettings.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStoreSettings.kt
@@ -17,6 +17,8 @@
     val isFirstStart: Boolean,
     /** Number of turn hosts that may be lost at once without loss of data. */
     val diskTolerance: Int,
+    /** Pause between batches of changes of the platform's store. */
+    val storeWatchPauseMillis: Long = 0,
 )
 
 /** Receives operators' requests to retire this turn host and reports their progress. */
