Answer requests whose head is incomplete when a stop closes idle connections

Cause: a connection counted as idle until a head was complete, so a stop closed it in the middle of a request that had begun to arrive.

Change: bytes since the last complete request keep the connection open until the request is answered or the grace period ends. The idle timeout, which ends an incomplete head, is unchanged.

Result: GatewayTest, a head in two parts around the time when idle connections are closed.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/CallerConnection.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/CallerConnection.kt
@@ -40,6 +40,21 @@
     private var isClosing = false
     private var lastActivityMillis = 0L
 
+    /** Whether bytes have arrived since the last complete request, which may be the start of a request's head. */
+    private var hasPartialRequest = false
+
+    /** Placed before the decoder, which reports a head only once it is complete. */
+    val byteObserver: ChannelInboundHandlerAdapter =
+        object : ChannelInboundHandlerAdapter() {
+            override fun channelRead(
+                ctx: ChannelHandlerContext,
+                message: Any,
+            ) {
+                hasPartialRequest = true
+                ctx.fireChannelRead(message)
+            }
+        }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
         lastActivityMillis = context.nowMillis()
@@ -85,6 +100,7 @@
         part.content().readBytes(body, part.content().readableBytes())
         if (body.size() > context.limits().maxBodyBytes) return rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         if (part !is LastHttpContent) return
+        hasPartialRequest = false
         queuedRequests.addLast(head!! to body.toByteArray())
         head = null
         startNextRequest()
@@ -164,10 +180,15 @@
         val limits = context.limits()
         val idleMillis = nowMillis - lastActivityMillis
         if (head != null && idleMillis > limits.headerTimeoutMillis) rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT)
-        if (head == null && idleMillis > limits.idleTimeoutMillis) closeIfIdle()
+        if (head == null && idleMillis > limits.idleTimeoutMillis) closeWithoutRequest()
     }
 
+    /** Closes the connection if no request is being handled or has been started by the caller. */
     fun closeIfIdle() {
+        if (!hasPartialRequest) closeWithoutRequest()
+    }
+
+    private fun closeWithoutRequest() {
         if (currentRequest == null && head == null && !isClosing) {
             isClosing = true
             channel.close()
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -83,7 +83,8 @@
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
                             val connection = CallerConnection(callerContext)
-                            channel.pipeline().addLast(StrictRequestDecoder(limits().maxHeaderBytes), HttpResponseEncoder(), connection)
+                            val decoder = StrictRequestDecoder(limits().maxHeaderBytes)
+                            channel.pipeline().addLast(connection.byteObserver, decoder, HttpResponseEncoder(), connection)
                         }
                     },
                 ).bind(socketAddress(settings.callerAddress))
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayTest.kt
@@ -122,6 +122,22 @@
         }
     }
 
+    @Test
+    fun `a draining gateway answers a request whose head arrives in parts while idle connections are closed`() {
+        GatewayFixture { _, _ -> signed("done") }.use { fixture ->
+            val request = "POST /once/a HTTP/1.1\r\nHost: desk\r\nX-Attempt: r1\r\nContent-Length: 0\r\n\r\n"
+            fixture.connect().use { idle ->
+                fixture.connect().use { socket ->
+                    fixture.gateway.drain {}
+                    socket.getOutputStream().write(request.take(20).toByteArray())
+                    assertEquals(-1, idle.getInputStream().read(), "the idle connection is closed")
+                    socket.getOutputStream().write(request.drop(20).toByteArray())
+                    assertEquals("done", socket.getInputStream().readMessage()?.second)
+                }
+            }
+        }
+    }
+
     @Test
     fun `a request with a content length and chunked encoding is rejected and not forwarded`() {
         GatewayFixture { _, _ -> signed("never") }.use { fixture ->
