Log and show the request limits that backend servers state

Cause: a backend server that is short of capacity states in its answers how many requests a second it accepts from all entry hosts together (`Server-Limit` on the platform). Nothing decoded the header, so neither logs nor state showed such a server.

Ruled out: counting refusals. A server in this state need not refuse anything.

No decision depends on it yet. Only a head that the server marked as its own changes the known load and limit.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -209,6 +209,7 @@
 internal fun ServingWork.handleAnswerStarted(event: AnswerStarted) {
     val pending = pendingRequest(event.key) ?: return
     updateServer(pending.serverId) { it.withReportedLoad(event.load, nowMillis).withoutFailures() }
+    recordStatedLimit(pending, event.requestsPerSecondLimit)
 }
 
 internal fun ServingWork.handleAttemptEnded(event: AttemptEnded) {
@@ -216,6 +217,7 @@
     updateServer(pending.serverId) {
         it.withAttemptEnded().withReportedLoad(event.load, nowMillis).afterAttempt(event.outcome, nowMillis, settings)
     }
+    if (event.outcome == AttemptOutcome.NOT_RUN) recordStatedLimit(pending, event.requestsPerSecondLimit)
     event.eventGapMillis?.let { recordEventGap(pending.service.name, it) }
     if (event.outcome == AttemptOutcome.ANSWERED) return completeRequest(pending)
     val mayHaveRun = event.outcome == AttemptOutcome.BROKEN || event.outcome == AttemptOutcome.NOT_KEPT
@@ -235,6 +237,19 @@
     }
 }
 
+private fun ServingWork.recordStatedLimit(
+    pending: PendingRequest,
+    requestsPerSecond: Double?,
+) {
+    val serverId = pending.serverId ?: return
+    val before = parts.servers[serverId] ?: return
+    val after = before.withStatedLimit(requestsPerSecond, pending.sentAtMillis, nowMillis)
+    if (after === before) return
+    updateServer(serverId) { after }
+    val statedRate = after.requestLimit?.requestsPerSecond
+    if (statedRate != before.requestLimit?.requestsPerSecond) emit(ReportRequestLimit(serverId, statedRate))
+}
+
 private fun ServingWork.recordEventGap(
     service: String,
     gapMillis: Double,
--- a/core/src/main/kotlin/lavendertrail/serving/ServerState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServerState.kt
@@ -12,6 +12,8 @@
     val inFlightChangeSinceLoad: Int = 0,
     val consecutiveFailures: Int = 0,
     val backoffUntilMillis: Long = 0,
+    /** Null while the server states no limit. */
+    val requestLimit: RequestLimit? = null,
     /** When the entry expired while the store was unreachable; null for an entry that has not expired. */
     val expiredAtMillis: Long? = null,
 ) {
@@ -41,6 +43,21 @@
         nowMillis: Long,
     ) = if (load == null) this else copy(load = load, loadReportedAtMillis = nowMillis, inFlightChangeSinceLoad = 0)
 
+    /**
+     * Applies the limit that an answer states, or ends the limit if the answer states none. An answer to a request that was sent
+     * before the limit was last stated may be older than that statement, so it doesn't end the limit.
+     */
+    fun withStatedLimit(
+        requestsPerSecond: Double?,
+        sentAtMillis: Long,
+        nowMillis: Long,
+    ): ServerState =
+        when {
+            requestsPerSecond != null -> copy(requestLimit = RequestLimit(requestsPerSecond, nowMillis))
+            requestLimit == null || sentAtMillis < requestLimit.statedAtMillis -> this
+            else -> copy(requestLimit = null)
+        }
+
     fun withoutFailures() = if (consecutiveFailures == 0) this else copy(consecutiveFailures = 0, backoffUntilMillis = 0)
 
     fun withFailure(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -65,6 +65,12 @@
     val key: RequestKey,
 ) : ServingEffect
 
+/** Reports that a server has stated a different request limit; null if it no longer states one. */
+public data class ReportRequestLimit(
+    val serverId: String,
+    val requestsPerSecond: Double?,
+) : ServingEffect
+
 /** Closes the connections to a server that was removed. */
 public data class CloseServerConnections(
     val id: String,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -48,6 +48,8 @@
 public data class AnswerStarted(
     val key: RequestKey,
     val load: ReportedLoad?,
+    /** The limit that the answer states, in requests a second; see [RequestLimit]. */
+    val requestsPerSecondLimit: Double? = null,
 ) : ServingEvent
 
 /**
@@ -63,6 +65,8 @@
     val detail: String = "",
     /** Mean time between the events of a stream with several events; null for other answers. */
     val eventGapMillis: Double? = null,
+    /** The limit that a refusal states, in requests a second; see [RequestLimit]. Other answers state it as they start. */
+    val requestsPerSecondLimit: Double? = null,
 ) : ServingEvent
 
 public data class CallerDisconnected(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -15,6 +15,13 @@
     public val pendingRequests: Int get() = parts.requests.size + parts.earlyRequests.size
     public val serverCount: Int get() = parts.servers.size
 
+    /** The limits that servers state, in requests a second, by server. */
+    public val requestLimits: Map<String, Double>
+        get() =
+            buildMap {
+                for ((id, server) in parts.servers) server.requestLimit?.let { put(id, it.requestsPerSecond) }
+            }
+
     /** Slowdown of token generation for each service, compared with idle engines. */
     public val slowdown: Map<String, Double> get() = parts.pace.mapValues { it.value.slowdown }
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -23,6 +23,7 @@
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.Reject
+import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.ReserveTokens
 import lavendertrail.serving.SendToServer
 import lavendertrail.serving.ServingEffect
@@ -56,10 +57,19 @@
             is CancelAttempt -> exchanges[effect.key]?.let { cancelAttempt(it) }
             is Reject -> exchanges[effect.key]?.let { reject(it, effect) }
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
+            is ReportRequestLimit -> reportRequestLimit(effect)
             is CloseServerConnections -> pool.closeIdleConnections(effect.id)
         }
     }
 
+    private fun reportRequestLimit(effect: ReportRequestLimit) {
+        val rate = effect.requestsPerSecond
+        log.event(if (rate == null) "server limit ended" else "server limit stated") {
+            put("server", effect.serverId)
+            rate?.let { put("requestsPerSecond", it) }
+        }
+    }
+
     /** Releases the exchange of a caller that has closed the connection. */
     fun onCallerDisconnected(exchange: Exchange) {
         log.event("caller left") {
@@ -173,7 +183,10 @@
         connection.keepAliveMillis = responseHead.keepAliveMillis
         attempt.response = head
         attempt.responseHead = responseHead
-        if (!responseHead.isNotRun && !responseHead.isWrongServer) submit(AnswerStarted(exchange.key, responseHead.load))
+        // Only a head that a backend server marked says something about the server's load and limit.
+        if (responseHead.hasServerMark && !responseHead.isNotRun && !responseHead.isWrongServer) {
+            submit(AnswerStarted(exchange.key, responseHead.load, responseHead.requestsPerSecondLimit))
+        }
         return true
     }
 
@@ -295,8 +308,18 @@
                 put("afterMillis", nowMillis() - attempt.sentAtMillis)
             }
         }
-        val load = attempt.responseHead?.load
-        submit(AttemptEnded(exchange.key, outcome, load, exchange.lastEventId, exchange.isResponseStarted, detail, attempt.eventGapMillis))
+        submit(
+            AttemptEnded(
+                key = exchange.key,
+                outcome = outcome,
+                load = attempt.responseHead?.load,
+                lastEventId = exchange.lastEventId,
+                isAnswerStarted = exchange.isResponseStarted,
+                detail = detail,
+                eventGapMillis = attempt.eventGapMillis,
+                requestsPerSecondLimit = attempt.responseHead?.requestsPerSecondLimit,
+            ),
+        )
     }
 
     /** Closes the connection to the server, which makes the server cancel the request. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -115,6 +115,7 @@
             callerConnections = callerConnections.size,
             turnHosts = turnClient.hosts.hosts.map { it.name },
             serverOccupancy = state.serverOccupancy(nowMillis()),
+            requestLimits = state.requestLimits,
         )
 
     /**
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
@@ -13,4 +13,6 @@
     val turnHosts: List<String>,
     /** Estimated number of requests at each server, by server id. */
     val serverOccupancy: Map<String, Double>,
+    /** The limits that servers state, in requests a second, by server id. */
+    val requestLimits: Map<String, Double>,
 )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerResponseHead.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerResponseHead.kt
@@ -12,6 +12,8 @@
     /** Whether a server other than the expected one responded at the address. */
     val isWrongServer: Boolean,
     val load: ReportedLoad?,
+    /** How many requests a second the server accepts from all entry hosts together; null if it states no limit. */
+    val requestsPerSecondLimit: Double? = null,
     /** How long the server keeps an idle connection open; null if it doesn't state a timeout. */
     val keepAliveMillis: Long?,
 )
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
@@ -87,6 +87,7 @@
                         isNotRun = head.headers().contains("X-Not-Run"),
                         isWrongServer = false,
                         load = null,
+                        requestsPerSecondLimit = head.headers()["X-Limit"]?.toDouble(),
                         keepAliveMillis = null,
                     )
                 },
