--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
@@ -74,7 +74,7 @@
     companion object {
         private const val READ_TIMEOUT_MILLIS = 5_000
 
-        private val wire =
+        val wire =
             GatewayProtocol(
                 decodeRequest = { head ->
                     head.headers()["X-Attempt"]?.let { CallerRequest(it, head.method().name(), "desk", head.uri(), deadlineMillis = 1_000) }
@@ -105,7 +105,7 @@
             kind: RequestKind,
         ) = Route(prefix, "desk", prefix, listOf(RouteTarget("tools", 1)), kind, 2_000, 100, maxAttempts = 2, priority = 1)
 
-        private val config =
+        val config =
             ServingConfig(
                 version = 1,
                 routes =
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -9,6 +9,7 @@
 import lavendertrail.serving.HistoryResult
 import lavendertrail.serving.ReservationResult
 import lavendertrail.serving.TurnHost
+import lavendertrail.serving.rankTurnHosts
 import lavendertrail.standins.KeyValueStandin
 import lavendertrail.standins.freePorts
 import java.nio.file.Path
@@ -84,6 +85,9 @@
             ?.let { TurnHostDirectory.decode(it.value) }
             .orEmpty()
 
+    /** The host that paces the requests to [serverId]. */
+    fun pacingHost(serverId: String): String = rankTurnHosts(serverId, listedHosts()).first().name
+
     fun save(
         id: String,
         previous: String? = null,
