Pace requests to servers that state a limit for all entry hosts together

Cause: nothing applied the limit. Applying it at each entry host alone would not do: most requests of one server come through the one or two entry hosts of its failure domain, so equal shares leave the limit unused there and their sum exceeds it elsewhere.

Change: before a request goes to such a server, the entry host asks the turn host that paces it (RequestPacer, generic cell rate algorithm) for a permit. A permit may be up to a second ahead, for a new program a quarter of a second; otherwise the request goes to a server without a limit, or is refused at once as not run with the time of the next permit. Limits are passed on with the answers to reservations. Permits lapse after 400 ms, and when the clocks show that the host was suspended. If no turn host answers, an entry host uses its share by the number of hosts.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -9,6 +9,10 @@
     val arrivedMillis: Long,
     val deadlineAtMillis: Long,
     val stage: Stage = Stage.PREPARING,
+    val isFirstTurn: Boolean = false,
+    val permit: Permit? = null,
+    val permitRequests: Int = 0,
+    val permitRequestedAtMillis: Long = 0,
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val isReserved: Boolean = false,
@@ -27,3 +31,13 @@
 
     fun remainingMillis(nowMillis: Long): Long = deadlineAtMillis - nowMillis
 }
+
+/**
+ * Permission to send a request to a server with a [RequestLimit] from [startsAtMillis] on. [promisedForMillis] is the earliest time
+ * for which the pacer may have counted it.
+ */
+internal data class Permit(
+    val serverId: String,
+    val startsAtMillis: Long,
+    val promisedForMillis: Long,
+)
--- a/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
@@ -19,6 +19,8 @@
     val selfDomain: String,
     val recentServerId: String?,
     val meanServiceDurationMillis: Double,
+    /** How long the request may wait for a permit of a server with a request limit; null if it can't ask for one. */
+    val maxPermitWaitMillis: Long? = null,
     val nowMillis: Long,
     val settings: ServingSettings,
 )
@@ -35,12 +37,62 @@
         .minByOrNull { input.estimatedStartMillis(it) }
 }
 
+/** Where a request goes. */
+internal sealed interface Placement {
+    data class Send(
+        val server: BackendServer,
+    ) : Placement
+
+    /** One of [servers], all of which state a limit, the preferred one first. */
+    data class AskPermit(
+        val servers: List<ServerState>,
+        val maxWaitMillis: Long,
+    ) : Placement
+
+    /** No server accepts the request soon enough. */
+    data object Full : Placement
+}
+
+/**
+ * Applies [policy], by which a server with a request limit needs a permit first. The request waits for a permit no longer than it
+ * would take to start at the best server without a limit.
+ */
+internal fun choosePlacement(
+    input: PlacementInput,
+    policy: PlacementPolicy = lowestEstimatedStart,
+): Placement {
+    val best = policy(input) ?: return Placement.Full
+    if (best.requestLimit == null) return Placement.Send(best.server)
+    val unlimited = policy(input.copy(candidates = input.candidates.filter { it.requestLimit == null }))
+    val limited =
+        input.candidates
+            .filter { it.requestLimit != null && it.hasCapacity(input) }
+            .sortedBy { input.estimatedStartMillis(it) }
+            .take(MAX_PERMIT_CANDIDATES)
+    val spareMillis = unlimited?.let { (input.estimatedStartMillis(it) - input.delayAfterSendMillis(best)).toLong() }
+    val maxWaitMillis = input.maxPermitWaitMillis ?: 0
+    return Placement.AskPermit(limited, spareMillis?.coerceIn(0, maxWaitMillis) ?: maxWaitMillis)
+}
+
+/** Enough to find a server with a permit, and few enough for a small message. */
+private const val MAX_PERMIT_CANDIDATES = 12
+
 private fun ServerState.hasCapacity(input: PlacementInput): Boolean {
+    if (requestLimit != null && !hasPermitInTime(input)) return false
     val limit = slots * (1 + input.settings.maxWaitingPerSlot)
     return occupancy(input.nowMillis, input.settings.loadHalfLifeMillis) < limit
 }
 
-private fun PlacementInput.estimatedStartMillis(state: ServerState): Double {
+private fun ServerState.hasPermitInTime(input: PlacementInput): Boolean {
+    val maxWaitMillis = input.maxPermitWaitMillis ?: return false
+    return permitWaitMillis(input.nowMillis) <= maxWaitMillis
+}
+
+private fun PlacementInput.estimatedStartMillis(state: ServerState): Double =
+    state.permitWaitMillis(nowMillis) + delayAfterSendMillis(state)
+
+/** Estimated time from sending the request to [state] until it starts there. */
+internal fun PlacementInput.delayAfterSendMillis(state: ServerState): Double {
     val occupied = state.occupancy(nowMillis, settings.loadHalfLifeMillis)
     val waitMillis = (occupied - state.slots + 1).coerceAtLeast(0.0) * meanServiceDurationMillis / state.slots
     val slowdownMillis = occupied / state.slots * meanServiceDurationMillis * FULL_BATCH_SLOWDOWN
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -24,7 +24,8 @@
     val service = route?.let { config.services[it.serviceFor(request)] }
     if (route == null || service == null) return emit(Reject(key, RejectReason.NO_ROUTE, detail = "configuration ${config.version}"))
     val timeoutMillis = minOf(route.timeoutMillis, request.deadlineMillis ?: route.timeoutMillis)
-    val pending = PendingRequest(key, request, route, service, arrivedMillis, arrivedMillis + timeoutMillis)
+    val pending =
+        PendingRequest(key, request, route, service, arrivedMillis, arrivedMillis + timeoutMillis, isFirstTurn = isFirstTurn(request))
     putRequest(pending)
     if (pending.remainingMillis(nowMillis) < settings.minRemainingMillis) return rejectRequest(pending, RejectReason.DEADLINE_PASSED)
     if (!isAdmitted(pending)) {
@@ -38,12 +39,17 @@
 private fun ServingWork.isAdmitted(pending: PendingRequest): Boolean {
     val request = pending.request
     val program = request.programId ?: return true
-    val isFirstTurn = request.previousTurnId == null && program !in parts.startedPrograms && request.resumeAfterEventId == null
-    if (pending.service.engine == null || !isFirstTurn) return true
+    if (pending.service.engine == null || !pending.isFirstTurn) return true
     val mostUrgentPriority = parts.config?.routes?.minOf { it.priority }
     return admitBySlowdown(AdmissionInput(slowdown(pending), pending.route.priority == mostUrgentPriority, uniformHash(program)))
 }
 
+private fun ServingWork.isFirstTurn(request: CallerRequest): Boolean =
+    request.programId != null &&
+        request.programId !in parts.startedPrograms &&
+        request.previousTurnId == null &&
+        request.resumeAfterEventId == null
+
 private fun ServingWork.slowdown(pending: PendingRequest): Double = parts.pace[pending.service.name]?.slowdown ?: 1.0
 
 /** A number between 0 and 1 that is the same for [subject] at all entry hosts. */
@@ -119,18 +125,18 @@
 }
 
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
-private fun ServingWork.placeRequest(key: RequestKey) {
+internal fun ServingWork.placeRequest(key: RequestKey) {
     val pending = pendingRequest(key) ?: return
     if (pending.awaitsHistory || pending.awaitsBudget) return
     val remainingMillis = pending.remainingMillis(nowMillis)
     if (remainingMillis < settings.minRemainingMillis) return rejectUnlessPossiblyRun(pending, RejectReason.DEADLINE_PASSED)
     val candidates = candidates(pending)
     if (candidates.isEmpty()) return rejectUnlessPossiblyRun(pending, RejectReason.NO_SERVER, NOT_READY_RETRY_MILLIS)
-    val chosen = lowestEstimatedStart(placementInput(pending, candidates))
-    if (chosen == null) {
-        rejectUnlessPossiblyRun(pending, RejectReason.OVERLOADED, overloadRetryMillis(pending))
-    } else {
-        sendToServer(pending, chosen.server)
+    val input = placementInput(pending, candidates)
+    when (val placement = choosePlacement(input)) {
+        is Placement.Send -> sendToServer(pending, placement.server)
+        is Placement.AskPermit -> requestPermit(pending, input, placement.servers, placement.maxWaitMillis)
+        Placement.Full -> rejectUnlessPossiblyRun(pending, RejectReason.OVERLOADED, fullRetryMillis(pending, candidates))
     }
 }
 
@@ -148,7 +154,7 @@
     }
 }
 
-private fun ServingWork.sendToServer(
+internal fun ServingWork.sendToServer(
     pending: PendingRequest,
     server: BackendServer,
 ) {
@@ -177,7 +183,7 @@
  * Servers of the service that accept new work. Servers in backoff are used only if no other is left, and so are servers that
  * were already tried, unless an earlier attempt may have run the request: then none is returned.
  */
-private fun ServingWork.candidates(pending: PendingRequest): List<ServerState> {
+internal fun ServingWork.candidates(pending: PendingRequest): List<ServerState> {
     val active = parts.servers.values.filter { it.server.service == pending.service.name && !it.server.isDraining }
     val healthy = active.filter { it.backoffUntilMillis <= nowMillis }.ifEmpty { active }
     return healthy.filter { it.server.id !in pending.triedServers }.ifEmpty {
@@ -195,10 +201,21 @@
     selfDomain = parts.self.value,
     recentServerId = pending.recentServerId,
     meanServiceDurationMillis = meanServiceDurationMillis(pending),
+    maxPermitWaitMillis = maxPermitWaitMillis(pending),
     nowMillis = nowMillis,
     settings = settings,
 )
 
+/**
+ * How long a request may wait for a permit. Programs that are running wait longer than new ones, so that a server's limit is first
+ * used to finish what was begun. Null once the request has asked often enough; then only servers without a limit are left for it.
+ */
+private fun ServingWork.maxPermitWaitMillis(pending: PendingRequest): Long? {
+    if (pending.permitRequests >= settings.maxPermitRequests) return null
+    val waitMillis = if (pending.isFirstTurn) settings.firstTurnPermitWaitMillis else settings.permitWaitMillis
+    return minOf(waitMillis, pending.remainingMillis(nowMillis) / 2)
+}
+
 private fun ServingWork.meanServiceDurationMillis(pending: PendingRequest) =
     parts.meanServiceDurationMillis[pending.service.name] ?: settings.initialServiceDurationMillis
 
@@ -206,6 +223,19 @@
 private fun ServingWork.overloadRetryMillis(pending: PendingRequest): Long =
     (meanServiceDurationMillis(pending) * settings.maxWaitingPerSlot / 2).toLong()
 
+/**
+ * Retry delay of a request for which all servers are full, or have no permit soon enough. Callers that wait for permits return at
+ * different times, since only one of them gets the next permit.
+ */
+private fun ServingWork.fullRetryMillis(
+    pending: PendingRequest,
+    candidates: List<ServerState>,
+): Long {
+    val permitMillis = candidates.minOf { it.permitWaitMillis(nowMillis) }
+    if (permitMillis == 0L) return overloadRetryMillis(pending)
+    return permitMillis + (uniformHash(pending.request.attemptId) * PERMIT_RETRY_JITTER_MILLIS).toLong()
+}
+
 internal fun ServingWork.handleAnswerStarted(event: AnswerStarted) {
     val pending = pendingRequest(event.key) ?: return
     updateServer(pending.serverId) { it.withReportedLoad(event.load, nowMillis).withoutFailures() }
@@ -237,19 +267,6 @@
     }
 }
 
-private fun ServingWork.recordStatedLimit(
-    pending: PendingRequest,
-    requestsPerSecond: Double?,
-) {
-    val serverId = pending.serverId ?: return
-    val before = parts.servers[serverId] ?: return
-    val after = before.withStatedLimit(requestsPerSecond, pending.sentAtMillis, nowMillis)
-    if (after === before) return
-    updateServer(serverId) { after }
-    val statedRate = after.requestLimit?.requestsPerSecond
-    if (statedRate != before.requestLimit?.requestsPerSecond) emit(ReportRequestLimit(serverId, statedRate))
-}
-
 private fun ServingWork.recordEventGap(
     service: String,
     gapMillis: Double,
@@ -281,7 +298,7 @@
 
 /** Gives a request its final answer at its deadline: not run if it was never sent, else failed, or aborted if the answer has begun. */
 internal fun ServingWork.timeOutRequest(pending: PendingRequest) {
-    if (pending.stage == PendingRequest.Stage.PREPARING) return rejectRequest(pending, RejectReason.DEADLINE_PASSED)
+    if (pending.stage == PendingRequest.Stage.PREPARING) return rejectUnlessPossiblyRun(pending, RejectReason.DEADLINE_PASSED)
     updateServer(pending.serverId) { it.withAttemptEnded() }
     emit(CancelAttempt(pending.key))
     rejectRequest(pending, RejectReason.TIMED_OUT)
@@ -346,6 +363,7 @@
 /** Running programs last one to three seconds, so capacity is freed continuously. */
 private const val ADMISSION_RETRY_MILLIS = 400L
 private const val ADMISSION_RETRY_JITTER_MILLIS = 500L
+private const val PERMIT_RETRY_JITTER_MILLIS = 500L
 
 /** Long enough for the next look-up to skip a turn host that was lost. */
 private const val UNCERTAIN_RETRY_MILLIS = 200L
--- a/core/src/main/kotlin/lavendertrail/serving/ServerState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServerState.kt
@@ -14,6 +14,10 @@
     val backoffUntilMillis: Long = 0,
     /** Null while the server states no limit. */
     val requestLimit: RequestLimit? = null,
+    val limitEndedAtMillis: Long? = null,
+    val limitReportedAtMillis: Long = 0,
+    /** When the pacer has the next permit for this server, as far as this host knows. */
+    val nextPermitAtMillis: Long = 0,
     /** When the entry expired while the store was unreachable; null for an entry that has not expired. */
     val expiredAtMillis: Long? = null,
 ) {
@@ -43,20 +47,8 @@
         nowMillis: Long,
     ) = if (load == null) this else copy(load = load, loadReportedAtMillis = nowMillis, inFlightChangeSinceLoad = 0)
 
-    /**
-     * Applies the limit that an answer states, or ends the limit if the answer states none. An answer to a request that was sent
-     * before the limit was last stated may be older than that statement, so it doesn't end the limit.
-     */
-    fun withStatedLimit(
-        requestsPerSecond: Double?,
-        sentAtMillis: Long,
-        nowMillis: Long,
-    ): ServerState =
-        when {
-            requestsPerSecond != null -> copy(requestLimit = RequestLimit(requestsPerSecond, nowMillis))
-            requestLimit == null || sentAtMillis < requestLimit.statedAtMillis -> this
-            else -> copy(requestLimit = null)
-        }
+    /** How long a request waits for a permit to be sent to this server. */
+    fun permitWaitMillis(nowMillis: Long): Long = if (requestLimit == null) 0 else (nextPermitAtMillis - nowMillis).coerceAtLeast(0)
 
     fun withoutFailures() = if (consecutiveFailures == 0) this else copy(consecutiveFailures = 0, backoffUntilMillis = 0)
 
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -65,10 +65,24 @@
     val key: RequestKey,
 ) : ServingEffect
 
-/** Reports that a server has stated a different request limit; null if it no longer states one. */
+/**
+ * Asks the pacer that all entry hosts share for a permit to send the request to one of [candidates], the preferred one first;
+ * answered by [PermitDecided].
+ */
+public data class RequestPermit(
+    val key: RequestKey,
+    val candidates: List<PermitCandidate>,
+    val maxWaitMillis: Long,
+) : ServingEffect
+
+/**
+ * Reports the request limit that a server states to the pacers; null if it no longer states one. [isChanged] is false for
+ * repeated reports of the same limit.
+ */
 public data class ReportRequestLimit(
     val serverId: String,
     val requestsPerSecond: Double?,
+    val isChanged: Boolean,
 ) : ServingEffect
 
 /** Closes the connections to a server that was removed. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -69,6 +69,23 @@
     val requestsPerSecondLimit: Double? = null,
 ) : ServingEvent
 
+/** [decision] is null if no pacer could be reached. [entryHostCount] is the number of entry hosts that the pacer knows. */
+public data class PermitDecided(
+    val key: RequestKey,
+    val candidates: List<PermitCandidate>,
+    val maxWaitMillis: Long,
+    val decision: PermitDecision?,
+    val entryHostCount: Int? = null,
+) : ServingEvent
+
+/** Other entry hosts have learnt [limits] from answers of servers. */
+public data class RequestLimitsLearnt(
+    val limits: List<StatedLimit>,
+) : ServingEvent
+
+/** The process stood still, or its clock doesn't show for how long; permissions with a time limit may have run out. */
+public data object ProcessPaused : ServingEvent
+
 public data class CallerDisconnected(
     val key: RequestKey,
 ) : ServingEvent
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -28,6 +28,9 @@
         is TokensReserved -> work.handleTokensReserved(event)
         is AnswerStarted -> work.handleAnswerStarted(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
+        is PermitDecided -> work.handlePermitDecided(event)
+        is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
+        ProcessPaused -> work.dropPermits()
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         ClockTicked -> work.handleTick()
     }
@@ -45,4 +48,5 @@
     parts.requests.values
         .filter { nowMillis >= it.deadlineAtMillis }
         .forEach { timeOutRequest(it) }
+    usePermits()
 }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -36,6 +36,18 @@
     val maxRememberedPrograms: Int = 4_096,
     /** Prompt parts remembered for each server. */
     val maxCachedParts: Int = 512,
+    /** How long a request of a running program may wait for a permit of a server with a request limit. */
+    val permitWaitMillis: Long = 1_000,
+    /** How long the first turn of a program may wait for a permit; about the target latency of a turn. */
+    val firstTurnPermitWaitMillis: Long = 250,
+    /** How often one request asks for a permit. Each question covers the servers of one pacer. */
+    val maxPermitRequests: Int = 4,
+    /** A permit that is used later than this counts towards a rate that has been used by others meanwhile. */
+    val permitValidityMillis: Long = 400,
+    /** Interval at which a limit that a server keeps stating is reported to the pacers. */
+    val limitReportMillis: Long = 5_000,
+    /** Number of entry hosts among which limits are divided while no pacer has told it; today's number of hosts of one owner. */
+    val assumedEntryHosts: Int = 9,
     /** A request with less time left is not sent; a round trip and the shortest work take as long. */
     val minRemainingMillis: Long = 20,
 )
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -43,6 +43,10 @@
     val requests: PersistentMap<RequestKey, PendingRequest> = persistentHashMapOf(),
     val meanServiceDurationMillis: PersistentMap<String, Double> = persistentHashMapOf(),
     val pace: PersistentMap<String, StreamPace> = persistentHashMapOf(),
+    /** Number of entry hosts that share the servers' limits. */
+    val entryHostCount: Int = settings.assumedEntryHosts,
+    /** Paces this host's own requests while no shared pacer can be reached. */
+    val ownPacer: RequestPacer = RequestPacer(),
     val startedPrograms: RecentPrograms = RecentPrograms(settings.maxRememberedPrograms),
 )
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -22,13 +22,16 @@
 import lavendertrail.serving.CloseServerConnections
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
+import lavendertrail.serving.PermitDecided
 import lavendertrail.serving.Reject
 import lavendertrail.serving.ReportRequestLimit
+import lavendertrail.serving.RequestPermit
 import lavendertrail.serving.ReserveTokens
 import lavendertrail.serving.SendToServer
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
+import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.TokensReserved
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnRecord
@@ -57,13 +60,24 @@
             is CancelAttempt -> exchanges[effect.key]?.let { cancelAttempt(it) }
             is Reject -> exchanges[effect.key]?.let { reject(it, effect) }
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
+            is RequestPermit -> requestPermit(effect)
             is ReportRequestLimit -> reportRequestLimit(effect)
             is CloseServerConnections -> pool.closeIdleConnections(effect.id)
         }
     }
 
+    private fun requestPermit(effect: RequestPermit) {
+        turnClient.requestPermit(effect.candidates, effect.maxWaitMillis) { asked, reply ->
+            metrics.recordPermit(reply?.decision)
+            val decided = PermitDecided(effect.key, asked, effect.maxWaitMillis, reply?.decision, reply?.entryHostCount)
+            loop.execute { submit(decided) }
+        }
+    }
+
     private fun reportRequestLimit(effect: ReportRequestLimit) {
         val rate = effect.requestsPerSecond
+        turnClient.reportLimit(StatedLimit(effect.serverId, rate))
+        if (!effect.isChanged) return
         log.event(if (rate == null) "server limit ended" else "server limit stated") {
             put("server", effect.serverId)
             rate?.let { put("requestsPerSecond", it) }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -16,9 +16,11 @@
 import lavendertrail.serving.CallerDisconnected
 import lavendertrail.serving.CallerLimits
 import lavendertrail.serving.ClockTicked
+import lavendertrail.serving.ProcessPaused
 import lavendertrail.serving.Reject
 import lavendertrail.serving.RejectReason
 import lavendertrail.serving.RequestArrived
+import lavendertrail.serving.RequestLimitsLearnt
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.reduceServing
@@ -52,7 +54,15 @@
     private var wereTurnHostsReachable = false
     private var wereTurnCallsRelayed = false
     private var drainStartedAtMillis = 0L
-    private val turnClient = TurnClient(group, settings.failureDomain, settings.turnCacheBytes) { log.warn("turn host call failed", it) }
+    private val clockCheck = ClockCheck()
+    private val turnClient =
+        TurnClient(
+            loop = group,
+            ownFailureDomain = settings.failureDomain,
+            cacheBytes = settings.turnCacheBytes,
+            onLimitsLearnt = { submit(RequestLimitsLearnt(it)) },
+            onCallFailure = { log.warn("turn host call failed", it) },
+        )
     private val pool = ServerPool(ServerConnector(loop, settings.serverConnectMillis), ::nowMillis)
     private val effectRunner =
         EffectRunner(settings, protocol, loop, pool, turnClient, exchanges, log, metrics, ::submit, ::removeExchange)
@@ -96,6 +106,11 @@
     /** Applies [event] on the event loop. */
     public fun submit(event: ServingEvent) {
         if (!loop.inEventLoop()) return loop.execute { submit(event) }
+        if (clockCheck.hasPaused()) apply(ProcessPaused)
+        apply(event)
+    }
+
+    private fun apply(event: ServingEvent) {
         val step = reduceServing(state, nowMillis(), event)
         state = step.state
         step.effects.forEach(::execute)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -5,6 +5,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import lavendertrail.serving.AttemptOutcome
+import lavendertrail.serving.PermitDecision
 import lavendertrail.serving.RejectReason
 import java.util.concurrent.TimeUnit
 
@@ -15,6 +16,8 @@
         RejectReason.entries.associateWith { registry.counter("lavendertrail_rejections", "reason", it.name.lowercase()) }
     private val attempts: Map<AttemptOutcome, Counter> =
         AttemptOutcome.entries.associateWith { registry.counter("lavendertrail_attempts", "outcome", it.name.lowercase()) }
+    private val permits: Map<PermitOutcome, Counter> =
+        PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
     private val responses: Timer =
         Timer.builder("lavendertrail_answer").serviceLevelObjectives(*LATENCY_BUCKETS).register(registry)
     private val lookups: Timer =
@@ -26,6 +29,19 @@
 
     public fun recordAttempt(outcome: AttemptOutcome): Unit = attempts.getValue(outcome).increment()
 
+    /** Records the reply to a permit request; null if no turn host replied. */
+    public fun recordPermit(decision: PermitDecision?) {
+        val outcome =
+            when {
+                decision == null -> PermitOutcome.NO_REPLY
+                decision.serverId == null -> PermitOutcome.DENIED
+                else -> PermitOutcome.GRANTED
+            }
+        permits.getValue(outcome).increment()
+    }
+
+    private enum class PermitOutcome { GRANTED, DENIED, NO_REPLY }
+
     /** Records a complete response, [millis] after the request's arrival. */
     public fun recordResponse(millis: Long): Unit = responses.record(millis, TimeUnit.MILLISECONDS)
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/EntryHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/EntryHosts.kt
@@ -8,10 +8,20 @@
 
     /** Records the relay address [address] and returns up to [MAX_OTHERS] others in random order. */
     fun announce(address: String): List<String> {
+        announcedAtMillis[address] = nowMillis()
+        removeOld()
+        return (announcedAtMillis.keys - address).shuffled().take(MAX_OTHERS)
+    }
+
+    /** The number of entry hosts that have announced themselves lately. */
+    fun count(): Int {
+        removeOld()
+        return announcedAtMillis.size
+    }
+
+    private fun removeOld() {
         val now = nowMillis()
-        announcedAtMillis[address] = now
         announcedAtMillis.values.removeIf { now - it > RETENTION_MILLIS }
-        return (announcedAtMillis.keys - address).shuffled().take(MAX_OTHERS)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -9,7 +9,9 @@
 import lavendertrail.model.StepError
 import lavendertrail.serving.BudgetTally
 import lavendertrail.serving.HistoryResult
+import lavendertrail.serving.PermitCandidate
 import lavendertrail.serving.ReservationResult
+import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.TurnHost
 import lavendertrail.serving.rankTurnHosts
 import java.net.InetSocketAddress
@@ -26,6 +28,8 @@
     private val ownFailureDomain: FailureDomain,
     cacheBytes: Long,
     private val resolveAddress: (address: String) -> InetSocketAddress = ::socketAddress,
+    /** Called with the limits of servers that other entry hosts have reported. */
+    private val onLimitsLearnt: (List<StatedLimit>) -> Unit = {},
     private val onCallFailure: (StepError) -> Unit,
 ) : AutoCloseable {
     var hosts = TurnHosts()
@@ -209,6 +213,7 @@
                 recentServerId = reply.recentServerId ?: recentServerId
                 if (isCounted) countedReplies++
                 if (uses != null) tally = tally.merge(uses)
+                if (reply.requestLimits.isNotEmpty()) onLimitsLearnt(reply.requestLimits)
                 if (countedReplies >= hosts.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(isCounted)
             },
             onEnd = {
@@ -233,6 +238,43 @@
         loop.schedule({ sendSettlements(pendingSettlements.take(use.programId)) }, SETTLE_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /**
+     * Asks for a permit to send a request to one of [candidates]. All entry hosts ask the same turn host about a server, so the
+     * question covers those candidates that share the pacer of the first one. [onDone] gets null if no turn host replies in time.
+     */
+    fun requestPermit(
+        candidates: List<PermitCandidate>,
+        maxWaitMillis: Long,
+        onDone: (List<PermitCandidate>, PermitReply?) -> Unit,
+    ) = requestPermit(candidates, maxWaitMillis, PERMIT_ATTEMPTS, onDone)
+
+    private fun requestPermit(
+        candidates: List<PermitCandidate>,
+        maxWaitMillis: Long,
+        attemptsLeft: Int,
+        onDone: (List<PermitCandidate>, PermitReply?) -> Unit,
+    ) {
+        val pacer = pacerOf(candidates.first().serverId)
+        val peer = pacer?.let { peersByHost[it] }
+        if (peer == null || attemptsLeft == 0) return onDone(candidates, null)
+        val shared = candidates.filter { pacerOf(it.serverId) == pacer }
+        call(peer, TurnMethods.permit, PermitRequest(shared, maxWaitMillis), PERMIT_TIMEOUT_MILLIS) { result ->
+            result.fold({ onDone(shared, it) }, {
+                onCallFailure(it)
+                requestPermit(shared, maxWaitMillis, attemptsLeft - 1, onDone)
+            })
+        }
+    }
+
+    /** The turn host that paces the requests to [serverId]: the same for all entry hosts that reach the same turn hosts. */
+    private fun pacerOf(serverId: String): TurnHost? = rankTurnHosts(serverId, hosts.hosts).firstOrNull(::isUsable)
+
+    /** Tells all turn hosts what a server states, so that entry hosts learn it with the next reservation. */
+    fun reportLimit(limit: StatedLimit) {
+        val request = PermitRequest(emptyList(), limits = listOf(limit))
+        for (peer in peersByHost.values) call(peer, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
+    }
+
     /** Sends all pending settlements, and later ones without delay; for a process that is shutting down. */
     fun stopDelayingSettlements() {
         delaysSettlements = false
@@ -353,6 +395,10 @@
 
         const val SETTLE_TIMEOUT_MILLIS = 1_000L
 
+        /** Many times a round trip; a turn host that takes longer is stalled, and the next one decides. */
+        const val PERMIT_TIMEOUT_MILLIS = 200L
+        const val PERMIT_ATTEMPTS = 2
+
         /** Longer than most pauses between turns. With a round trip it stays below one second, within which uses must be settled. */
         const val SETTLE_DELAY_MILLIS = 300L
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -3,6 +3,9 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import lavendertrail.serving.PermitCandidate
+import lavendertrail.serving.PermitDecision
+import lavendertrail.serving.StatedLimit
 
 /*
  * Messages between entry hosts and turn hosts. isComplete in a reply tells whether the host has all records that it should have:
@@ -36,12 +39,29 @@
 /** [uses] are those of the program, packed by [packUses]; empty in the reply to a request without a reservation. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-internal class UseReply(
+internal data class UseReply(
     val isKept: Boolean,
     @ByteString val uses: ByteArray,
     val isComplete: Boolean,
     /** The server of the session's last turn, or of the program's last turn if the session has none. */
     val recentServerId: String? = null,
+    /** Limits of servers that the host knows; empty in the reply to a request without a reservation. */
+    val requestLimits: List<StatedLimit> = emptyList(),
+)
+
+/** Reports the limits of servers in [limits], and requests a permit for one of [candidates], if there are any. */
+@Serializable
+internal data class PermitRequest(
+    val candidates: List<PermitCandidate>,
+    val maxWaitMillis: Long = 0,
+    val limits: List<StatedLimit> = emptyList(),
+)
+
+/** [entryHostCount] is the number of entry hosts that have called the host lately. */
+@Serializable
+internal data class PermitReply(
+    val decision: PermitDecision,
+    val entryHostCount: Int,
 )
 
 /** Requests the records of the host from position [after] on. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -60,11 +60,15 @@
 
 private fun turnHandlers(repository: TurnRepository): Map<String, CallHandler> {
     val entryHosts = EntryHosts(::nowMillis)
+    val permits = RequestPermits(::nowMillis)
     return mapOf(
         callHandler(TurnMethods.meet) { request, reply -> reply(MeetReply(entryHosts.announce(request.relayAddress))) },
         callHandler(TurnMethods.keep, repository::storeTurn),
         callHandler(TurnMethods.chain) { request, reply -> reply(repository.readChain(request)) },
-        callHandler(TurnMethods.use, repository::storeUses),
+        callHandler(TurnMethods.use) { request, reply ->
+            repository.storeUses(request) { reply(if (request.reservation == null) it else it.copy(requestLimits = permits.limits)) }
+        },
+        callHandler(TurnMethods.permit) { request, reply -> reply(permits.decide(request, entryHosts.count())) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
         callHandler(TurnMethods.offer) { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } },
         callHandler(TurnMethods.copy) { request, reply -> reply(repository.readCopyPage(request)) },
--- a/gateway/src/test/kotlin/lavendertrail/gateway/RequestLimitTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/RequestLimitTest.kt
@@ -4,9 +4,9 @@
 import lavendertrail.serving.BackendServer
 import lavendertrail.serving.ConfigAccepted
 import lavendertrail.serving.ServerChanged
+import lavendertrail.standins.freePorts
 import lavendertrail.turns.TurnHosts
 import lavendertrail.turns.TurnHostsFixture
-import lavendertrail.standins.freePorts
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -85,8 +85,20 @@
     private val server =
         ScriptedServer { head, _ ->
             arrivals += nowMillis()
-            val id = Regex("X-Attempt: (\\S+)").find(head)?.groupValues?.get(1).orEmpty()
-            signed("done", id, this.limit.get()?.let { "X-Limit: $it\r\n" }.orEmpty())
+            val id =
+                Regex("X-Attempt: (\\S+)")
+                    .find(head)
+                    ?.groupValues
+                    ?.get(1)
+                    .orEmpty()
+            signed(
+                "done",
+                id,
+                this.limit
+                    .get()
+                    ?.let { "X-Limit: $it\r\n" }
+                    .orEmpty(),
+            )
         }
     private val turnHosts = TurnHostsFixture()
     private val groups = List(hostCount) { singleEventLoop() }
@@ -98,7 +110,14 @@
         val hosts = turnHosts.awaitHosts("a1", "b1", "c1")
         ports.forEachIndexed { index, port ->
             val settings =
-                GatewaySettings("node$index", FailureDomain("a"), "127.0.0.1:$port", "127.0.0.1:0", relayAddress = null, graceMillis = 3_000)
+                GatewaySettings(
+                    "node$index",
+                    FailureDomain("a"),
+                    "127.0.0.1:$port",
+                    "127.0.0.1:0",
+                    relayAddress = null,
+                    graceMillis = 3_000,
+                )
             val gateway = Gateway(settings, GatewayFixture.wire, groups[index], StructuredLog("node$index"), GatewayMetrics())
             gateway.start()
             gateway.updateTurnHosts(TurnHosts(hosts, 1))
@@ -132,7 +151,9 @@
         val id = "r${nextId.incrementAndGet()}"
         Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = CALL_TIMEOUT_MILLIS
-            socket.getOutputStream().write("POST /safe/a HTTP/1.1\r\nHost: desk\r\nX-Attempt: $id\r\nContent-Length: 0\r\n\r\n".toByteArray())
+            socket.getOutputStream().write(
+                "POST /safe/a HTTP/1.1\r\nHost: desk\r\nX-Attempt: $id\r\nContent-Length: 0\r\n\r\n".toByteArray(),
+            )
             socket.getInputStream().readMessage()
         }
     }
