Start an entry host's relay server off its event loop

What callers saw: entry hosts that are cut off from the turn hosts refused turns, since no other entry host relayed their calls; a turn host that failed one call was not called directly again; idle connections of callers were never closed.

Cause: the relay server was started on the event loop, where gRPC's start waits for that same loop and throws. The exception left the tick before its counter was advanced, so every later tick failed at the same place, and the tasks after it never ran: probes of turn hosts, closing idle and timed-out connections.

Change: the relay server starts on a thread of its own, and a failed start is logged and repeated. Each periodic task fails for itself.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -1,6 +1,5 @@
 package lavendertrail.gateway
 
-import io.grpc.Server
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -28,7 +27,9 @@
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnHosts
 import lavendertrail.turns.startRelayServer
+import java.io.IOException
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 /**
  * The process of an entry host: accepts callers' requests, applies the serving reducer to events and executes its effects.
@@ -50,7 +51,7 @@
     private var ticks = 0L
     private var listenChannel: Channel? = null
     private var isDraining = false
-    private var relayServer: Server? = null
+    private var isRelayStarted = false
     private var wereTurnHostsReachable = false
     private var wereTurnCallsRelayed = false
     private var drainStartedAtMillis = 0L
@@ -160,27 +161,54 @@
     }
 
     private fun tick() {
+        val tick = ticks++
+        runPeriodically("clock") { submit(ClockTicked) }
+        if (tick % PROBE_TICKS == 0L) runPeriodically("probe turn hosts", ::probeTurnHosts)
+        if (tick % RELAY_EXCHANGE_TICKS == RELAY_EXCHANGE_TICKS - 1) {
+            settings.relayAddress?.let { runPeriodically("exchange relay addresses") { exchangeRelayAddresses(it) } }
+        }
+        if (tick % CLEANUP_TICKS == 0L) runPeriodically("close timed-out connections", ::closeTimedOutConnections)
+    }
+
+    /** A periodic task that throws is not scheduled again, and without ticks no deadline would be enforced. */
+    private fun runPeriodically(
+        step: String,
+        task: () -> Unit,
+    ) {
         try {
-            submit(ClockTicked)
-            if (ticks % PROBE_TICKS == 0L) probeTurnHosts()
-            if (ticks % RELAY_EXCHANGE_TICKS == RELAY_EXCHANGE_TICKS - 1) settings.relayAddress?.let(::exchangeRelayAddresses)
-            if (ticks++ % CLEANUP_TICKS == 0L) {
-                val now = nowMillis()
-                callerConnections.toList().forEach { it.closeIfTimedOut(now) }
-                pool.closeExpired()
-            }
+            task()
         } catch (e: RuntimeException) {
-            // A periodic task that throws is not scheduled again, and without ticks no deadline would be enforced.
-            log.error("tick failed", e)
+            log.error("$step failed", e)
         }
     }
 
-    /** Starts the relay server on first use: loading its classes at startup would delay the first requests by about 100 ms. */
+    private fun closeTimedOutConnections() {
+        val now = nowMillis()
+        callerConnections.toList().forEach { it.closeIfTimedOut(now) }
+        pool.closeExpired()
+    }
+
     private fun exchangeRelayAddresses(relayAddress: String) {
-        if (relayServer == null) relayServer = startRelayServer(turnClient.relay, socketAddress(relayAddress), group)
+        if (!isRelayStarted) startRelay(relayAddress)
         turnClient.exchangeRelayAddresses(relayAddress)
     }
 
+    /**
+     * Starts the relay server on first use: loading its classes at startup would delay the first requests by about 100 ms. The start
+     * waits for the event loop, so it needs a thread of its own. A failed start is repeated at the next exchange.
+     */
+    private fun startRelay(relayAddress: String) {
+        isRelayStarted = true
+        thread(name = "relay-start", isDaemon = true) {
+            try {
+                startRelayServer(turnClient.relay, socketAddress(relayAddress), group)
+            } catch (e: IOException) {
+                log.warn("relay not started", StepError("listen", relayAddress, e.toString()))
+                loop.execute { isRelayStarted = false }
+            }
+        }
+    }
+
     private fun probeTurnHosts() {
         turnClient.probeUnresponsive()
         val isRelayed = turnClient.isRelayed
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
@@ -22,6 +22,7 @@
 
 /** A gateway on loopback in front of one scripted server, with test-specific header names. */
 internal class GatewayFixture(
+    relayAddress: String? = null,
     respond: (head: String, body: String) -> String?,
 ) : AutoCloseable {
     val server = ScriptedServer(respond)
@@ -29,7 +30,7 @@
     private val group = singleEventLoop()
     val gateway =
         Gateway(
-            GatewaySettings("node", FailureDomain("a"), "127.0.0.1:$port", "127.0.0.1:0", relayAddress = null, graceMillis = 3_000),
+            GatewaySettings("node", FailureDomain("a"), "127.0.0.1:$port", "127.0.0.1:0", relayAddress, graceMillis = 3_000),
             wire,
             group,
             StructuredLog("node"),
