Move the effects and calls that concern turn hosts to files of their own

Change: TurnEffects has the effects that call turn hosts, PermitCalls the calls about servers with a request limit.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -20,9 +20,7 @@
 import lavendertrail.serving.AttemptOutcome
 import lavendertrail.serving.CancelAttempt
 import lavendertrail.serving.CloseServerConnections
-import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
-import lavendertrail.serving.PermitDecided
 import lavendertrail.serving.Reject
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
@@ -31,20 +29,17 @@
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
-import lavendertrail.serving.StatedLimit
-import lavendertrail.serving.TokensReserved
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnRecord
-import lavendertrail.turns.UseRecord
 import java.io.ByteArrayOutputStream
 
 /** Executes the effects of the serving reducer and submits their results as events. */
 internal class EffectRunner(
-    private val settings: GatewaySettings,
     private val protocol: GatewayProtocol,
     private val loop: EventLoop,
     private val pool: ServerPool,
     private val turnClient: TurnClient,
+    private val turnEffects: TurnEffects,
     private val exchanges: Map<Long, Exchange>,
     private val log: StructuredLog,
     private val metrics: GatewayMetrics,
@@ -53,37 +48,19 @@
 ) {
     fun execute(effect: ServingEffect) {
         when (effect) {
-            is LoadHistory -> loadHistory(effect)
-            is ReserveTokens -> reserveTokens(effect)
-            is SettleTokens -> settleTokens(effect)
+            is LoadHistory -> turnEffects.loadHistory(effect)
+            is ReserveTokens -> turnEffects.reserveTokens(effect)
+            is SettleTokens -> turnEffects.settleTokens(effect)
             is SendToServer -> exchanges[effect.key]?.let { sendToServer(it, effect) }
             is CancelAttempt -> exchanges[effect.key]?.let { cancelAttempt(it) }
             is Reject -> exchanges[effect.key]?.let { reject(it, effect) }
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
-            is RequestPermit -> requestPermit(effect)
-            is ReportRequestLimit -> reportRequestLimit(effect)
+            is RequestPermit -> turnEffects.requestPermit(effect)
+            is ReportRequestLimit -> turnEffects.reportRequestLimit(effect)
             is CloseServerConnections -> pool.closeIdleConnections(effect.id)
         }
     }
 
-    private fun requestPermit(effect: RequestPermit) {
-        turnClient.requestPermit(effect.candidates, effect.maxWaitMillis) { asked, reply ->
-            metrics.recordPermit(reply?.decision)
-            val decided = PermitDecided(effect.key, asked, effect.maxWaitMillis, reply?.decision, reply?.entryHostCount)
-            loop.execute { submit(decided) }
-        }
-    }
-
-    private fun reportRequestLimit(effect: ReportRequestLimit) {
-        val rate = effect.requestsPerSecond
-        turnClient.reportLimit(StatedLimit(effect.serverId, rate))
-        if (!effect.isChanged) return
-        log.event(if (rate == null) "server limit ended" else "server limit stated") {
-            put("server", effect.serverId)
-            rate?.let { put("requestsPerSecond", it) }
-        }
-    }
-
     /** Releases the exchange of a caller that has closed the connection. */
     fun onCallerDisconnected(exchange: Exchange) {
         log.event("caller left") {
@@ -94,33 +71,6 @@
         loop.execute { onFinished(exchange) }
     }
 
-    private fun loadHistory(effect: LoadHistory) {
-        val startedMillis = nowMillis()
-        turnClient.loadChain(effect.turnId, effect.programId, effect.timeoutMillis) { result, chain ->
-            metrics.recordTurnLookup(nowMillis() - startedMillis)
-            exchanges[effect.key]?.history = chain
-            // A result from the cache would otherwise be handled within the reducer step that requested it.
-            loop.execute { submit(HistoryLoaded(effect.key, result)) }
-        }
-    }
-
-    private fun reserveTokens(effect: ReserveTokens) {
-        val use = UseRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false, useExpiry(), effect.sessionId)
-        turnClient.reserve(use, effect.budgetTokens, effect.timeoutMillis) { result, recentServerId ->
-            loop.execute { submit(TokensReserved(effect.key, result, recentServerId)) }
-        }
-    }
-
-    private fun settleTokens(effect: SettleTokens) {
-        val events = exchanges[effect.key]?.forwardedEvents ?: return
-        val tokens = events * effect.tokensPerEvent
-        turnClient.settle(
-            UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId),
-        )
-    }
-
-    private fun useExpiry() = System.currentTimeMillis() + settings.budgetRetentionMillis
-
     private fun sendToServer(
         exchange: Exchange,
         effect: SendToServer,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -65,8 +65,9 @@
             onCallFailure = { log.warn("turn host call failed", it) },
         )
     private val pool = ServerPool(ServerConnector(loop, settings.serverConnectMillis), ::nowMillis)
+    private val turnEffects = TurnEffects(settings, loop, turnClient, exchanges, log, metrics, ::submit)
     private val effectRunner =
-        EffectRunner(settings, protocol, loop, pool, turnClient, exchanges, log, metrics, ::submit, ::removeExchange)
+        EffectRunner(protocol, loop, pool, turnClient, turnEffects, exchanges, log, metrics, ::submit, ::removeExchange)
     private val callerContext =
         CallerConnectionContext(
             nowMillis = ::nowMillis,
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -0,0 +1,74 @@
+package lavendertrail.gateway
+
+import io.netty.channel.EventLoop
+import kotlinx.serialization.json.put
+import lavendertrail.serving.HistoryLoaded
+import lavendertrail.serving.LoadHistory
+import lavendertrail.serving.PermitDecided
+import lavendertrail.serving.ReportRequestLimit
+import lavendertrail.serving.RequestPermit
+import lavendertrail.serving.ReserveTokens
+import lavendertrail.serving.ServingEvent
+import lavendertrail.serving.SettleTokens
+import lavendertrail.serving.StatedLimit
+import lavendertrail.serving.TokensReserved
+import lavendertrail.turns.TurnClient
+import lavendertrail.turns.UseRecord
+import lavendertrail.turns.reportLimit
+import lavendertrail.turns.requestPermit
+
+/** Executes the effects of the serving reducer that call turn hosts, and submits their results as events. */
+internal class TurnEffects(
+    private val settings: GatewaySettings,
+    private val loop: EventLoop,
+    private val turnClient: TurnClient,
+    private val exchanges: Map<Long, Exchange>,
+    private val log: StructuredLog,
+    private val metrics: GatewayMetrics,
+    private val submit: (ServingEvent) -> Unit,
+) {
+    fun loadHistory(effect: LoadHistory) {
+        val startedMillis = nowMillis()
+        turnClient.loadChain(effect.turnId, effect.programId, effect.timeoutMillis) { result, chain ->
+            metrics.recordTurnLookup(nowMillis() - startedMillis)
+            exchanges[effect.key]?.history = chain
+            // A result from the cache would otherwise be handled within the reducer step that requested it.
+            loop.execute { submit(HistoryLoaded(effect.key, result)) }
+        }
+    }
+
+    fun reserveTokens(effect: ReserveTokens) {
+        val use = UseRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false, useExpiry(), effect.sessionId)
+        turnClient.reserve(use, effect.budgetTokens, effect.timeoutMillis) { result, recentServerId ->
+            loop.execute { submit(TokensReserved(effect.key, result, recentServerId)) }
+        }
+    }
+
+    fun settleTokens(effect: SettleTokens) {
+        val events = exchanges[effect.key]?.forwardedEvents ?: return
+        val tokens = events * effect.tokensPerEvent
+        turnClient.settle(
+            UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId),
+        )
+    }
+
+    private fun useExpiry() = System.currentTimeMillis() + settings.budgetRetentionMillis
+
+    fun requestPermit(effect: RequestPermit) {
+        turnClient.requestPermit(effect.candidates, effect.maxWaitMillis) { asked, reply ->
+            metrics.recordPermit(reply?.decision)
+            val decided = PermitDecided(effect.key, asked, effect.maxWaitMillis, reply?.decision, reply?.entryHostCount)
+            loop.execute { submit(decided) }
+        }
+    }
+
+    fun reportRequestLimit(effect: ReportRequestLimit) {
+        val rate = effect.requestsPerSecond
+        turnClient.reportLimit(StatedLimit(effect.serverId, rate))
+        if (!effect.isChanged) return
+        log.event(if (rate == null) "server limit ended" else "server limit stated") {
+            put("server", effect.serverId)
+            rate?.let { put("requestsPerSecond", it) }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/turns/PermitCalls.kt
@@ -0,0 +1,45 @@
+package lavendertrail.turns
+
+import com.github.michaelbull.result.fold
+import lavendertrail.serving.PermitCandidate
+import lavendertrail.serving.StatedLimit
+import lavendertrail.serving.TurnHost
+import lavendertrail.serving.rankTurnHosts
+
+/*
+ * Calls about servers with a request limit. Rendezvous hashing names the turn host that paces a server, so entry hosts that reach
+ * the same turn hosts ask the same one.
+ */
+
+/** Many times a round trip; a turn host that takes longer is stalled, and the next one decides. */
+private const val PERMIT_TIMEOUT_MILLIS = 200L
+private const val PERMIT_ATTEMPTS = 2
+
+/**
+ * Asks for a permit to send a request to one of [candidates]. The question covers those candidates that share the pacer of the
+ * first one, which [onDone] gets with the reply; the reply is null if no turn host replies in time.
+ */
+internal fun TurnClient.requestPermit(
+    candidates: List<PermitCandidate>,
+    maxWaitMillis: Long,
+    attemptsLeft: Int = PERMIT_ATTEMPTS,
+    onDone: (List<PermitCandidate>, PermitReply?) -> Unit,
+) {
+    val pacer = pacerOf(candidates.first().serverId)
+    if (pacer == null || attemptsLeft == 0) return onDone(candidates, null)
+    val shared = candidates.filter { pacerOf(it.serverId) == pacer }
+    call(pacer, TurnMethods.permit, PermitRequest(shared, maxWaitMillis), PERMIT_TIMEOUT_MILLIS) { result ->
+        result.fold({ onDone(shared, it) }, {
+            onCallFailure(it)
+            requestPermit(shared, maxWaitMillis, attemptsLeft - 1, onDone)
+        })
+    }
+}
+
+private fun TurnClient.pacerOf(serverId: String): TurnHost? = rankTurnHosts(serverId, hosts.hosts).firstOrNull(::isUsable)
+
+/** Tells all turn hosts what a server states, so that entry hosts learn it with the next reservation. */
+internal fun TurnClient.reportLimit(limit: StatedLimit) {
+    val request = PermitRequest(emptyList(), limits = listOf(limit))
+    for (host in hosts.hosts) call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
+}
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -1,5 +1,6 @@
 package lavendertrail.turns
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.grpc.MethodDescriptor
@@ -9,7 +10,6 @@
 import lavendertrail.model.StepError
 import lavendertrail.serving.BudgetTally
 import lavendertrail.serving.HistoryResult
-import lavendertrail.serving.PermitCandidate
 import lavendertrail.serving.ReservationResult
 import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.TurnHost
@@ -30,7 +30,7 @@
     private val resolveAddress: (address: String) -> InetSocketAddress = ::socketAddress,
     /** Called with the limits of servers that other entry hosts have reported. */
     private val onLimitsLearnt: (List<StatedLimit>) -> Unit = {},
-    private val onCallFailure: (StepError) -> Unit,
+    internal val onCallFailure: (StepError) -> Unit,
 ) : AutoCloseable {
     var hosts = TurnHosts()
         private set
@@ -56,7 +56,7 @@
     /** Relays calls of other entry hosts to the turn hosts that respond to this process. */
     val relay = TurnRelay { address -> peersByHost.values.firstOrNull { it.address == address && !it.isUnresponsive } }
 
-    private fun isUsable(host: TurnHost) = peersByHost[host]?.isUnresponsive == false || relayedCalls.hasRecentReply(host.address)
+    internal fun isUsable(host: TurnHost) = peersByHost[host]?.isUnresponsive == false || relayedCalls.hasRecentReply(host.address)
 
     /** Calls the unresponsive hosts, directly and, while calls are relayed, through other entry hosts. */
     fun probeUnresponsive() {
@@ -81,6 +81,22 @@
         }
     }
 
+    /** Calls [host], through another entry host if it doesn't respond directly. */
+    internal fun <Q : Any, R : Any> call(
+        host: TurnHost,
+        method: MethodDescriptor<Q, R>,
+        request: Q,
+        timeoutMillis: Long,
+        onResult: (Result<R, StepError>) -> Unit,
+    ) {
+        val peer = peersByHost[host]
+        if (peer == null) {
+            onResult(Err(StepError(method.bareMethodName.orEmpty(), host.address, "not a turn host any more")))
+        } else {
+            call(peer, method, request, timeoutMillis, onResult)
+        }
+    }
+
     private fun <Q : Any, R : Any> call(
         peer: TurnPeer,
         method: MethodDescriptor<Q, R>,
@@ -238,43 +254,6 @@
         loop.schedule({ sendSettlements(pendingSettlements.take(use.programId)) }, SETTLE_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /**
-     * Asks for a permit to send a request to one of [candidates]. All entry hosts ask the same turn host about a server, so the
-     * question covers those candidates that share the pacer of the first one. [onDone] gets null if no turn host replies in time.
-     */
-    fun requestPermit(
-        candidates: List<PermitCandidate>,
-        maxWaitMillis: Long,
-        onDone: (List<PermitCandidate>, PermitReply?) -> Unit,
-    ) = requestPermit(candidates, maxWaitMillis, PERMIT_ATTEMPTS, onDone)
-
-    private fun requestPermit(
-        candidates: List<PermitCandidate>,
-        maxWaitMillis: Long,
-        attemptsLeft: Int,
-        onDone: (List<PermitCandidate>, PermitReply?) -> Unit,
-    ) {
-        val pacer = pacerOf(candidates.first().serverId)
-        val peer = pacer?.let { peersByHost[it] }
-        if (peer == null || attemptsLeft == 0) return onDone(candidates, null)
-        val shared = candidates.filter { pacerOf(it.serverId) == pacer }
-        call(peer, TurnMethods.permit, PermitRequest(shared, maxWaitMillis), PERMIT_TIMEOUT_MILLIS) { result ->
-            result.fold({ onDone(shared, it) }, {
-                onCallFailure(it)
-                requestPermit(shared, maxWaitMillis, attemptsLeft - 1, onDone)
-            })
-        }
-    }
-
-    /** The turn host that paces the requests to [serverId]: the same for all entry hosts that reach the same turn hosts. */
-    private fun pacerOf(serverId: String): TurnHost? = rankTurnHosts(serverId, hosts.hosts).firstOrNull(::isUsable)
-
-    /** Tells all turn hosts what a server states, so that entry hosts learn it with the next reservation. */
-    fun reportLimit(limit: StatedLimit) {
-        val request = PermitRequest(emptyList(), limits = listOf(limit))
-        for (peer in peersByHost.values) call(peer, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
-    }
-
     /** Sends all pending settlements, and later ones without delay; for a process that is shutting down. */
     fun stopDelayingSettlements() {
         delaysSettlements = false
@@ -304,13 +283,13 @@
         )
     }
 
-    private fun rankedHosts(programId: String): List<TurnHost> =
+    internal fun rankedHosts(programId: String): List<TurnHost> =
         rankTurnHosts(programId, hosts.hosts)
             .sortedBy { host ->
                 (if (peersByHost[host]?.isUnresponsive == true) 2 else 0) + (if (host.failureDomain == ownFailureDomain) 0 else 1)
             }
 
-    private enum class ReplyOutcome {
+    internal enum class ReplyOutcome {
         SUFFICIENT,
         COUNTED,
 
@@ -323,7 +302,7 @@
         }
     }
 
-    private class HostQuery(
+    internal class HostQuery(
         val hosts: List<TurnHost>,
         val parallelism: Int,
         val timeoutMillis: Long,
@@ -333,7 +312,7 @@
      * Calls hosts in order until [onReply] returns [ReplyOutcome.SUFFICIENT] or no host is left, then calls [onEnd] once. When a
      * host fails or is slow, the next one is called. All calls end at the latest when the timeout has passed.
      */
-    private fun <Q : Any, R : Any> queryHosts(
+    internal fun <Q : Any, R : Any> queryHosts(
         method: MethodDescriptor<Q, R>,
         request: Q,
         query: HostQuery,
@@ -395,10 +374,6 @@
 
         const val SETTLE_TIMEOUT_MILLIS = 1_000L
 
-        /** Many times a round trip; a turn host that takes longer is stalled, and the next one decides. */
-        const val PERMIT_TIMEOUT_MILLIS = 200L
-        const val PERMIT_ATTEMPTS = 2
-
         /** Longer than most pauses between turns. With a round trip it stays below one second, within which uses must be settled. */
         const val SETTLE_DELAY_MILLIS = 300L
 
