Count the waits of turns when new programs are admitted

Cause: admission compared the time between events with that of idle engines. An engine that states a limit, or has a long queue, generates at full speed; the turns lost 400 ms and more before their first event (504 to 739 ms on average), which admission didn't see.

Ruled out: too short permits. The limited servers got what they accept, and the servers without a limit were full.

Change: TurnPace measures the time from when a turn could be sent to its first event besides the time between events, and compares the sum with that under low load. Thresholds stay as they are.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -20,6 +20,8 @@
     val recentServerId: String? = null,
     val serverId: String? = null,
     val sentAtMillis: Long = 0,
+    /** When the request could first be sent, before any wait for a permit. */
+    val readyAtMillis: Long? = null,
     val triedServers: Set<String> = emptySet(),
     /** Attempts after which the request may have run. */
     val possiblyRunAttempts: Int = 0,
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -126,8 +126,10 @@
 
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
-    val pending = pendingRequest(key) ?: return
-    if (pending.awaitsHistory || pending.awaitsBudget) return
+    val known = pendingRequest(key) ?: return
+    if (known.awaitsHistory || known.awaitsBudget) return
+    val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
+    putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
     if (remainingMillis < settings.minRemainingMillis) return rejectUnlessPossiblyRun(pending, RejectReason.DEADLINE_PASSED)
     val candidates = candidates(pending)
@@ -248,7 +250,7 @@
         it.withAttemptEnded().withReportedLoad(event.load, nowMillis).afterAttempt(event.outcome, nowMillis, settings)
     }
     if (event.outcome == AttemptOutcome.NOT_RUN) recordStatedLimit(pending, event.requestsPerSecondLimit)
-    event.eventGapMillis?.let { recordEventGap(pending.service.name, it) }
+    recordPace(pending, event)
     if (event.outcome == AttemptOutcome.ANSWERED) return completeRequest(pending)
     val mayHaveRun = event.outcome == AttemptOutcome.BROKEN || event.outcome == AttemptOutcome.NOT_KEPT
     val failed =
@@ -267,12 +269,16 @@
     }
 }
 
-private fun ServingWork.recordEventGap(
-    service: String,
-    gapMillis: Double,
+private fun ServingWork.recordPace(
+    pending: PendingRequest,
+    event: AttemptEnded,
 ) {
-    val pace = parts.pace[service] ?: StreamPace()
-    parts = parts.copy(pace = parts.pace.put(service, pace.observe(gapMillis)))
+    val gapMillis = event.eventGapMillis ?: return
+    val firstEventAtMillis = event.firstEventAtMillis ?: return
+    val pace = parts.pace[pending.service.name] ?: TurnPace()
+    val startMillis = (firstEventAtMillis - (pending.readyAtMillis ?: pending.sentAtMillis)).toDouble()
+    val next = pace.observe(gapMillis, startMillis, (nowMillis - firstEventAtMillis).toDouble())
+    parts = parts.copy(pace = parts.pace.put(pending.service.name, next))
 }
 
 private fun ServingWork.completeRequest(pending: PendingRequest) {
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -65,6 +65,8 @@
     val detail: String = "",
     /** Mean time between the events of a stream with several events; null for other answers. */
     val eventGapMillis: Double? = null,
+    /** When the first event of a stream arrived, by the clock of the reducer. */
+    val firstEventAtMillis: Long? = null,
     /** The limit that a refusal states, in requests a second; see [RequestLimit]. Other answers state it as they start. */
     val requestsPerSecondLimit: Double? = null,
 ) : ServingEvent
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -22,7 +22,7 @@
                 for ((id, server) in parts.servers) server.requestLimit?.let { put(id, it.requestsPerSecond) }
             }
 
-    /** Slowdown of token generation for each service, compared with idle engines. */
+    /** Slowdown of streams for each service, compared with idle engines; waits included. */
     public val slowdown: Map<String, Double> get() = parts.pace.mapValues { it.value.slowdown }
 
     /** Estimated number of running and waiting requests of each server, for the state dump. */
@@ -42,7 +42,7 @@
     val storeChangedAtMillis: Long = 0,
     val requests: PersistentMap<RequestKey, PendingRequest> = persistentHashMapOf(),
     val meanServiceDurationMillis: PersistentMap<String, Double> = persistentHashMapOf(),
-    val pace: PersistentMap<String, StreamPace> = persistentHashMapOf(),
+    val pace: PersistentMap<String, TurnPace> = persistentHashMapOf(),
     /** Number of entry hosts that share the servers' limits. */
     val entryHostCount: Int = settings.assumedEntryHosts,
     /** Paces this host's own requests while no shared pacer can be reached. */
--- a/core/src/main/kotlin/lavendertrail/serving/StreamPace.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/StreamPace.kt
@@ -12,23 +12,26 @@
     val idleGapMillis: Double = 0.0,
     val answerCount: Int = 0,
 ) {
-    val slowdown: Double get() = if (answerCount < MIN_ANSWERS) 1.0 else currentGapMillis / idleGapMillis
+    /** Whether enough answers have been observed. */
+    val isMeaningful: Boolean get() = answerCount >= MIN_ANSWERS
+
+    val slowdown: Double get() = if (isMeaningful) currentGapMillis / idleGapMillis else 1.0
 
     fun observe(gapMillis: Double): StreamPace {
         if (answerCount == 0) return StreamPace(gapMillis, gapMillis, 1)
         val current = currentGapMillis + (gapMillis - currentGapMillis) * LATEST_WEIGHT
-        val idle = if (answerCount < MIN_ANSWERS) current else minOf(idleGapMillis * IDLE_GAP_GROWTH, current)
+        val idle = if (!isMeaningful) current else minOf(idleGapMillis * IDLE_GAP_GROWTH, current)
         return StreamPace(current, idle, answerCount + 1)
     }
 
-    private companion object {
+    companion object {
         /** Covers the last 15 to 20 answers, which an entry host sees in about a second under high load. */
         const val LATEST_WEIGHT = 0.06
 
         /** Answers needed before the average is meaningful. */
-        const val MIN_ANSWERS = 15
+        private const val MIN_ANSWERS = 15
 
         /** Doubles the idle gap within 7,000 answers, which take several minutes under high load. */
-        const val IDLE_GAP_GROWTH = 1.0001
+        private const val IDLE_GAP_GROWTH = 1.0001
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -281,6 +281,7 @@
                 isAnswerStarted = exchange.isResponseStarted,
                 detail = detail,
                 eventGapMillis = attempt.eventGapMillis,
+                firstEventAtMillis = exchange.firstEventAtMillis,
                 requestsPerSecondLimit = attempt.responseHead?.requestsPerSecondLimit,
             ),
         )
