Log the software versions of servers and the attempts that streams resume

The logs named neither the version of a server nor the attempt that a request resumes.

The lines of a request have `version`, `resumes` and `afterEvent`. No decision depends on them yet.

--- a/core/src/main/kotlin/lavendertrail/serving/BackendServer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/BackendServer.kt
@@ -13,4 +13,6 @@
     val slowStartRemainingMillis: Long = 0,
     /** Distinguishes two starts under the same id; null where the server doesn't report it. */
     val startedEpochMillis: Long? = null,
+    /** Servers of several versions may serve a service side by side. A stream that one of them began fits no other version. */
+    val softwareVersion: String = "",
 )
--- a/core/src/main/kotlin/lavendertrail/serving/CallerRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CallerRequest.kt
@@ -18,6 +18,8 @@
     val maxOutputTokens: Int = 0,
     val promptParts: List<PromptPart> = emptyList(),
     val resumeAfterEventId: String? = null,
+    /** The caller's attempt that brought the first event of the stream that this request resumes. */
+    val resumedAttemptId: String? = null,
     val programId: String? = null,
     val sessionId: String? = null,
     val programDeadlineMillis: Long? = null,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -78,7 +78,7 @@
         val attempt = ServerAttempt(effect, nowMillis())
         exchange.currentAttempt = attempt
         exchange.attemptCount++
-        exchange.lastServerId = effect.server.id
+        exchange.lastServer = effect.server
         pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
                 if (attempt.isCancelled) connection.abandon() else writeRequest(exchange, attempt, connection)
@@ -333,7 +333,12 @@
         exchange.request.programId?.let { put("program", it) }
         put("path", exchange.request.path)
         put("sends", exchange.attemptCount)
-        exchange.lastServerId?.let { put("lastServer", it) }
+        exchange.lastServer?.let {
+            put("lastServer", it.id)
+            put("version", it.softwareVersion)
+        }
+        exchange.request.resumedAttemptId?.let { put("resumes", it) }
+        exchange.request.resumeAfterEventId?.let { put("afterEvent", it) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerRequest
 import lavendertrail.serving.RequestKey
 import lavendertrail.serving.SendToServer
@@ -21,7 +22,7 @@
     var history: List<TurnRecord> = emptyList()
     var currentAttempt: ServerAttempt? = null
     var attemptCount = 0
-    var lastServerId: String? = null
+    var lastServer: BackendServer? = null
     var forwardedEvents = 0
     var lastEventId: String? = null
     var isResponseStarted = false
