--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
@@ -78,7 +78,17 @@
         val wire =
             GatewayProtocol(
                 decodeRequest = { head ->
-                    head.headers()["X-Attempt"]?.let { CallerRequest(it, head.method().name(), "desk", head.uri(), deadlineMillis = 1_000) }
+                    head.headers()["X-Attempt"]?.let {
+                        CallerRequest(
+                            attemptId = it,
+                            method = head.method().name(),
+                            host = "desk",
+                            target = head.uri(),
+                            deadlineMillis = 1_000,
+                            resumeAfterEventId = head.headers()["X-After"],
+                            resumedAttemptId = head.headers()["X-Resumes"],
+                        )
+                    }
                 },
                 serverHeaders = { headers, effect -> headers.copy().set("X-Server", effect.server.id) },
                 decodeResponseHead = { head ->
@@ -114,6 +124,7 @@
                         route("/safe/", RequestKind.IDEMPOTENT),
                         route("/once/", RequestKind.NON_IDEMPOTENT),
                         route("/stream/", RequestKind.STREAM),
+                        route("/resumable/", RequestKind.STREAM).copy(maxAttempts = 1, isResumable = true),
                     ),
                 services = mapOf("tools" to ServiceSpec("tools", "/healthz", 10, EngineSpec(4, 1_000, 4))),
                 limits = CallerLimits(maxBodyBytes = 10_000),
