Resume streams only at the software version that began them

What callers saw: a stream that they resumed was answered 200 and held events of two software versions of a server, with nothing in the answer to show it.

Cause: a resume was placed like a new stream. Placement knew neither the versions of servers nor which attempt is resumed.

Ruled out: attempts of an entry host within one answer, since routes on these sites allow one; the code allowed it, and it is mended too. Keeping versions in memory: entry hosts are killed all at once, and callers come to other hosts.

Change: with the first event of a stream on a resumable route, its service and software version are stored at the turn hosts, on as many disks as copies of turns. A resume looks them up and goes only to servers of that version; it is refused at once as not run if none is left or the origin is unknown. This works because a stream without a record is never resumed, so losing a record can't join two versions.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -15,6 +15,11 @@
     val permitRequestedAtMillis: Long = 0,
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
+    val awaitsOrigin: Boolean = false,
+    /** The only servers that may handle the request, since the caller has events of theirs; null if it has none. */
+    val requiredOrigin: StreamOrigin? = null,
+    /** The kind of server that the latest attempt went to. */
+    val sentToOrigin: StreamOrigin? = null,
     val isReserved: Boolean = false,
     /** The server of the session's last turn. */
     val recentServerId: String? = null,
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -13,6 +13,12 @@
     BUDGET_SPENT(isNotRun = true),
     BUDGET_UNCERTAIN(isNotRun = true),
     NO_SERVER(isNotRun = true),
+
+    /** The request continues a stream, and it is not known which servers began it. */
+    STREAM_ORIGIN_UNKNOWN(isNotRun = true),
+
+    /** The request continues a stream, and no server of the version that began it is left. */
+    STREAM_VERSION_GONE(isNotRun = true),
     OVERLOADED(isNotRun = true),
     DEADLINE_PASSED(isNotRun = true),
     SERVER_FAILED(isNotRun = false),
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -77,16 +77,19 @@
         }.service
 }
 
-/** Requests the turn's history and budget concurrently, since each takes a round trip to the turn hosts. */
+/** Requests the turn's history and budget and the origin of a resumed stream concurrently, since each takes a round trip to the turn hosts. */
 private fun ServingWork.requestHistoryAndBudget(pending: PendingRequest) {
     val request = pending.request
     val timeoutMillis = minOf(settings.turnLookupTimeoutMillis, pending.remainingMillis(nowMillis))
     val history = request.previousTurnId?.takeIf { pending.route.turnRetentionMillis != null }
     val reservation = tokenReservation(pending, timeoutMillis)
-    putRequest(pending.copy(awaitsHistory = history != null, awaitsBudget = reservation != null))
+    val origin = originLookup(pending, timeoutMillis)
+    if (origin == null && pending.isResume) return rejectRequest(pending, RejectReason.STREAM_ORIGIN_UNKNOWN)
+    putRequest(pending.copy(awaitsHistory = history != null, awaitsBudget = reservation != null, awaitsOrigin = origin != null))
     if (history != null) emit(LoadHistory(pending.key, history, request.programId, timeoutMillis))
+    if (origin != null) emit(origin)
     if (reservation != null) emit(reservation)
-    if (history == null && reservation == null) placeRequest(pending.key)
+    if (history == null && reservation == null && origin == null) placeRequest(pending.key)
 }
 
 private fun tokenReservation(
@@ -127,13 +130,13 @@
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
-    if (known.awaitsHistory || known.awaitsBudget) return
+    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
     if (remainingMillis < settings.minRemainingMillis) return rejectUnlessPossiblyRun(pending, RejectReason.DEADLINE_PASSED)
     val candidates = candidates(pending)
-    if (candidates.isEmpty()) return rejectUnlessPossiblyRun(pending, RejectReason.NO_SERVER, NOT_READY_RETRY_MILLIS)
+    if (candidates.isEmpty()) return rejectWithoutServer(pending)
     val input = placementInput(pending, candidates)
     when (val placement = choosePlacement(input)) {
         is Placement.Send -> sendToServer(pending, placement.server)
@@ -142,13 +145,20 @@
     }
 }
 
+/** Another server registers within a short time, but one of a version that has left does not. */
+private fun ServingWork.rejectWithoutServer(pending: PendingRequest) {
+    val origin = pending.requiredOrigin ?: return rejectUnlessPossiblyRun(pending, RejectReason.NO_SERVER, NOT_READY_RETRY_MILLIS)
+    rejectUnlessPossiblyRun(pending, RejectReason.STREAM_VERSION_GONE, detail = origin.toString())
+}
+
 /** Answers that the request has not run, unless an earlier attempt may have run it. */
 private fun ServingWork.rejectUnlessPossiblyRun(
     pending: PendingRequest,
     reason: RejectReason,
     retryAfterMillis: Long? = null,
+    detail: String = "",
 ) {
-    if (pending.possiblyRunAttempts == 0) return rejectRequest(pending, reason, retryAfterMillis)
+    if (pending.possiblyRunAttempts == 0) return rejectRequest(pending, reason, retryAfterMillis, detail)
     if (pending.isAnswerStarted) {
         abortResponse(pending, reason.name)
     } else {
@@ -166,6 +176,7 @@
             stage = PendingRequest.Stage.SENT,
             serverId = server.id,
             sentAtMillis = nowMillis,
+            sentToOrigin = server.streamOrigin,
             triedServers = pending.triedServers + server.id,
         ),
     )
@@ -177,6 +188,7 @@
             resumeAfterEventId = pending.resumeAfterEventId,
             isStream = pending.route.kind == RequestKind.STREAM,
             turnRetentionMillis = pending.route.turnRetentionMillis,
+            originRetentionMillis = settings.streamOriginRetentionMillis.takeIf { pending.route.isResumable && !pending.isResume },
         ),
     )
 }
@@ -186,7 +198,10 @@
  * were already tried, unless an earlier attempt may have run the request: then none is returned.
  */
 internal fun ServingWork.candidates(pending: PendingRequest): List<ServerState> {
-    val active = parts.servers.values.filter { it.server.service == pending.service.name && !it.server.isDraining }
+    val active =
+        parts.servers.values.filter {
+            it.server.service == pending.service.name && !it.server.isDraining && pending.fitsVersionOf(it.server)
+        }
     val healthy = active.filter { it.backoffUntilMillis <= nowMillis }.ifEmpty { active }
     return healthy.filter { it.server.id !in pending.triedServers }.ifEmpty {
         if (pending.possiblyRunAttempts > 0) emptyList() else healthy
@@ -258,6 +273,7 @@
             possiblyRunAttempts = pending.possiblyRunAttempts + if (mayHaveRun) 1 else 0,
             notRunAttempts = pending.notRunAttempts + if (mayHaveRun) 0 else 1,
             isAnswerStarted = event.isAnswerStarted,
+            requiredOrigin = pending.originAfter(event),
             resumeAfterEventId = event.lastEventId ?: pending.resumeAfterEventId,
         )
     putRequest(failed)
@@ -310,7 +326,7 @@
     rejectRequest(pending, RejectReason.TIMED_OUT)
 }
 
-private fun ServingWork.rejectRequest(
+internal fun ServingWork.rejectRequest(
     pending: PendingRequest,
     reason: RejectReason,
     retryAfterMillis: Long? = null,
@@ -372,7 +388,7 @@
 private const val PERMIT_RETRY_JITTER_MILLIS = 500L
 
 /** Long enough for the next look-up to skip a turn host that was lost. */
-private const val UNCERTAIN_RETRY_MILLIS = 200L
+internal const val UNCERTAIN_RETRY_MILLIS = 200L
 
 /** Time within which a process reads its configuration or a server registers. */
 internal const val NOT_READY_RETRY_MILLIS = 300L
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -11,6 +11,13 @@
     val timeoutMillis: Long,
 ) : ServingEffect
 
+/** Looks up the servers that sent the first event of the stream to the caller's attempt [attemptId]; answered by [StreamOriginLoaded]. */
+public data class LoadStreamOrigin(
+    val key: RequestKey,
+    val attemptId: String,
+    val timeoutMillis: Long,
+) : ServingEffect
+
 /** Reserves [tokens] in the program's [budgetTokens]; answered by [TokensReserved]. */
 public data class ReserveTokens(
     val key: RequestKey,
@@ -35,7 +42,8 @@
 
 /**
  * Sends the request to [server]; answered by [AnswerStarted] and [AttemptEnded]. A complete streamed answer is stored as a turn
- * for [turnRetentionMillis], where that is set.
+ * for [turnRetentionMillis], where that is set. The stream's origin is stored with its first event for [originRetentionMillis],
+ * where that is set.
  */
 public data class SendToServer(
     val key: RequestKey,
@@ -44,6 +52,7 @@
     val resumeAfterEventId: String?,
     val isStream: Boolean,
     val turnRetentionMillis: Long?,
+    val originRetentionMillis: Long? = null,
 ) : ServingEffect
 
 /** Answers the request with a rejection; the caller may retry after [retryAfterMillis]. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -44,6 +44,13 @@
     val recentServerId: String? = null,
 ) : ServingEvent
 
+/** [origin] is null if no turn host has it; [isCertain] tells whether enough of them have answered to know that none has. */
+public data class StreamOriginLoaded(
+    val key: RequestKey,
+    val origin: StreamOrigin?,
+    val isCertain: Boolean,
+) : ServingEvent
+
 /** The first byte of the server's answer has arrived. */
 public data class AnswerStarted(
     val key: RequestKey,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -26,6 +26,7 @@
         is RequestArrived -> work.handleRequestArrived(event.key, event.request)
         is HistoryLoaded -> work.handleHistoryLoaded(event)
         is TokensReserved -> work.handleTokensReserved(event)
+        is StreamOriginLoaded -> work.handleStreamOriginLoaded(event)
         is AnswerStarted -> work.handleAnswerStarted(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
         is PermitDecided -> work.handlePermitDecided(event)
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -36,6 +36,8 @@
     val maxRememberedPrograms: Int = 4_096,
     /** Prompt parts remembered for each server. */
     val maxCachedParts: Int = 512,
+    /** How long the origin of a stream is kept after its first event; several times the deadline within which a caller resumes it. */
+    val streamOriginRetentionMillis: Long = 30_000,
     /** How long a request of a running program may wait for a permit of a server with a request limit. */
     val permitWaitMillis: Long = 1_000,
     /** How long the first turn of a program may wait for a permit; about the target latency of a turn. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -21,6 +21,7 @@
 import lavendertrail.serving.CancelAttempt
 import lavendertrail.serving.CloseServerConnections
 import lavendertrail.serving.LoadHistory
+import lavendertrail.serving.LoadStreamOrigin
 import lavendertrail.serving.Reject
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
@@ -29,6 +30,7 @@
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
+import lavendertrail.serving.streamOrigin
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnRecord
 import java.io.ByteArrayOutputStream
@@ -49,6 +51,7 @@
     fun execute(effect: ServingEffect) {
         when (effect) {
             is LoadHistory -> turnEffects.loadHistory(effect)
+            is LoadStreamOrigin -> turnEffects.loadStreamOrigin(effect)
             is ReserveTokens -> turnEffects.reserveTokens(effect)
             is SettleTokens -> turnEffects.settleTokens(effect)
             is SendToServer -> exchanges[effect.key]?.let { sendToServer(it, effect) }
@@ -169,6 +172,7 @@
             exchange.firstEventAtMillis = nowMillis()
             val head = attempt.response ?: return
             exchange.connection.startResponse(DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), endToEndHeaders(head.headers())))
+            attempt.effect.originRetentionMillis?.let { turnEffects.storeStreamOrigin(exchange, attempt.effect.server.streamOrigin, it) }
         }
         attempt.recordEvent(nowMillis())
         exchange.connection.writeChunk(event.bytes)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.put
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
+import lavendertrail.serving.LoadStreamOrigin
 import lavendertrail.serving.PermitDecided
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
@@ -11,11 +12,16 @@
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
 import lavendertrail.serving.StatedLimit
+import lavendertrail.serving.StreamOrigin
+import lavendertrail.serving.StreamOriginLoaded
 import lavendertrail.serving.TokensReserved
+import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
+import lavendertrail.turns.loadOrigin
 import lavendertrail.turns.reportLimit
 import lavendertrail.turns.requestPermit
+import lavendertrail.turns.storeOrigin
 
 /** Executes the effects of the serving reducer that call turn hosts, and submits their results as events. */
 internal class TurnEffects(
@@ -37,6 +43,21 @@
         }
     }
 
+    fun loadStreamOrigin(effect: LoadStreamOrigin) {
+        turnClient.loadOrigin(effect.attemptId, effect.timeoutMillis) { origin, isCertain ->
+            loop.execute { submit(StreamOriginLoaded(effect.key, origin, isCertain)) }
+        }
+    }
+
+    /** Stores which servers have sent the first event of the stream to the caller. */
+    fun storeStreamOrigin(
+        exchange: Exchange,
+        origin: StreamOrigin,
+        retentionMillis: Long,
+    ) {
+        turnClient.storeOrigin(OriginRecord(exchange.request.attemptId, origin, System.currentTimeMillis() + retentionMillis))
+    }
+
     fun reserveTokens(effect: ReserveTokens) {
         val use = UseRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false, useExpiry(), effect.sessionId)
         turnClient.reserve(use, effect.budgetTokens, effect.timeoutMillis) { result, recentServerId ->
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
@@ -0,0 +1,62 @@
+package lavendertrail.turns
+
+import lavendertrail.model.StepError
+import lavendertrail.serving.StreamOrigin
+import lavendertrail.serving.TurnHost
+import lavendertrail.serving.rankTurnHosts
+import lavendertrail.turns.TurnClient.HostQuery
+import lavendertrail.turns.TurnClient.ReplyOutcome
+
+/*
+ * Calls about the origins of streams. The copies of an origin are at the turn hosts that rendezvous hashing names for the caller's
+ * attempt, so that another entry host asks these first.
+ */
+
+/** A stream goes on while its origin is stored, so there is time to ask another host in place of a slow one. */
+private const val STORE_ORIGIN_TIMEOUT_MILLIS = 1_000L
+
+/** Stores the origin at as many turn hosts as hold a copy of a turn. */
+internal fun TurnClient.storeOrigin(record: OriginRecord) {
+    var copiesStored = 0
+    queryHosts(
+        TurnMethods.keepOrigin,
+        record,
+        HostQuery(originHosts(record.attemptId), hosts.copies, STORE_ORIGIN_TIMEOUT_MILLIS),
+        onReply = { reply ->
+            if (reply.isKept) copiesStored++
+            if (copiesStored >= hosts.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
+        },
+        onEnd = {
+            if (copiesStored < hosts.copies) {
+                onCallFailure(StepError("store origin", record.attemptId, "stored by $copiesStored of ${hosts.copies} turn hosts"))
+            }
+        },
+    )
+}
+
+/**
+ * Reports the origin of the stream that the caller's attempt [attemptId] began, or null with whether it is certain that no turn
+ * host has it.
+ */
+internal fun TurnClient.loadOrigin(
+    attemptId: String,
+    timeoutMillis: Long,
+    onDone: (origin: StreamOrigin?, isCertain: Boolean) -> Unit,
+) {
+    if (!isReachable) return onDone(null, false)
+    var origin: StreamOrigin? = null
+    var hostsWithoutOrigin = 0
+    queryHosts(
+        TurnMethods.findOrigin,
+        OriginRequest(attemptId),
+        HostQuery(originHosts(attemptId), 1, timeoutMillis),
+        onReply = { reply ->
+            origin = origin ?: reply.origin
+            if (reply.origin == null && reply.isComplete) hostsWithoutOrigin++
+            if (origin != null) ReplyOutcome.SUFFICIENT else ReplyOutcome.NOT_COUNTED
+        },
+        onEnd = { onDone(origin, hostsWithoutOrigin >= hosts.hosts.size - hosts.tolerance) },
+    )
+}
+
+private fun TurnClient.originHosts(attemptId: String): List<TurnHost> = rankTurnHosts(attemptId, hosts.hosts).sortedBy { !isUsable(it) }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
@@ -50,7 +50,8 @@
         peer: TurnPeer,
         page: CopyPage,
     ): Result<Unit, StepError> {
-        if (!storeRecords(page.uses.map { StoredRecord(use = it) })) return Err(diskFailure())
+        val smallRecords = page.uses.map { StoredRecord(use = it) } + page.origins.map { StoredRecord(origin = it) }
+        if (!storeRecords(smallRecords)) return Err(diskFailure())
         var missingTurnIds = onLoop { repository.findMissing(page.turnIds) }
         while (missingTurnIds.isNotEmpty()) {
             val request = FetchRequest(missingTurnIds)
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -6,6 +6,7 @@
 import lavendertrail.serving.PermitCandidate
 import lavendertrail.serving.PermitDecision
 import lavendertrail.serving.StatedLimit
+import lavendertrail.serving.StreamOrigin
 
 /*
  * Messages between entry hosts and turn hosts. isComplete in a reply tells whether the host has all records that it should have:
@@ -49,6 +50,18 @@
     val requestLimits: List<StatedLimit> = emptyList(),
 )
 
+/** Requests the origin of the stream whose first event the caller's attempt [attemptId] received. */
+@Serializable
+internal data class OriginRequest(
+    val attemptId: String,
+)
+
+@Serializable
+internal data class OriginReply(
+    val origin: StreamOrigin?,
+    val isComplete: Boolean,
+)
+
 /** Reports the limits of servers in [limits], and requests a permit for one of [candidates], if there are any. */
 @Serializable
 internal data class PermitRequest(
@@ -71,7 +84,7 @@
     val after: Long,
 )
 
-/** Lists turns by id, since the requester may have them from another host, and uses in full, since they are small. */
+/** Lists turns by id, since the requester may have them from another host, and uses and origins in full, since they are small. */
 @Serializable
 internal class CopyPage(
     /** Positions are valid only within the same epoch. */
@@ -80,6 +93,7 @@
     val uses: List<UseRecord>,
     val next: Long,
     val isLast: Boolean,
+    val origins: List<OriginRecord> = emptyList(),
 )
 
 @Serializable
@@ -94,13 +108,15 @@
     val handled: Int,
 )
 
-/** A record of the turn log: exactly one of a turn and a use. */
+/** A record of the turn log: exactly one of a turn, a use and the origin of a stream. */
 @Serializable
 internal class StoredRecord(
     val turn: TurnRecord? = null,
     val use: UseRecord? = null,
+    val origin: OriginRecord? = null,
 ) {
-    val expiresAtEpochMillis: Long get() = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: 0
+    val expiresAtEpochMillis: Long
+        get() = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: origin?.expiresAtEpochMillis ?: 0
 }
 
 /** A call to the turn host at [hostAddress], sent through another entry host because the turn host doesn't respond directly. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -29,12 +29,14 @@
     val offer = unary("Offer", OfferRequest.serializer(), KeepReply.serializer())
     val meet = unary("Meet", MeetRequest.serializer(), MeetReply.serializer())
     val relay = unary("Relay", RelayRequest.serializer(), RelayReply.serializer())
+    val keepOrigin = unary("KeepOrigin", OriginRecord.serializer(), KeepReply.serializer())
+    val findOrigin = unary("FindOrigin", OriginRequest.serializer(), OriginReply.serializer())
     val permit = unary("Permit", PermitRequest.serializer(), PermitReply.serializer())
     val copy = unary("Copy", CopyRequest.serializer(), CopyPage.serializer())
 
     /** Methods that entry hosts relay for each other, by bare name, with messages forwarded in encoded form. */
     val relayable: Map<String, MethodDescriptor<ByteArray, ByteArray>> =
-        listOf(keep, chain, use, permit).associate {
+        listOf(keep, chain, use, permit, keepOrigin, findOrigin).associate {
             it.bareMethodName.orEmpty() to
                 method(it.bareMethodName.orEmpty(), ByteArrayMarshaller, ByteArrayMarshaller)
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -22,6 +22,7 @@
     private val turnLog = TurnLog(folder.resolve("log"), nowEpochMillis, onDiskFailure)
     private val turns = HashMap<String, TurnRecord>()
     private val uses = HashMap<String, HashMap<String, UseRecord>>()
+    private val origins = HashMap<String, OriginRecord>()
     private val recentServers = HashMap<String, RecentServers>()
 
     /** All records in the order of arrival, for copying to other hosts. */
@@ -98,12 +99,25 @@
         appendAllToLog(records) { areStored -> onReply(UseReply(areStored, packed, wasComplete, recentServerId)) }
     }
 
+    fun storeOrigin(
+        origin: OriginRecord,
+        onReply: (KeepReply) -> Unit,
+    ) {
+        if (isSealed) return onReply(KeepReply(isKept = false))
+        val record = StoredRecord(origin = origin)
+        addToMemory(record)
+        appendToLog(record) { onReply(KeepReply(it)) }
+    }
+
+    fun findOrigin(request: OriginRequest): OriginReply = OriginReply(origins[request.attemptId]?.origin, isComplete)
+
     fun readCopyPage(request: CopyRequest): CopyPage {
         val page = recordsAfter(request.after, MAX_PAGE_RECORDS)
         return CopyPage(
             epoch = epoch,
             turnIds = page.records.mapNotNull { it.turn?.id },
             uses = page.records.mapNotNull { it.use },
+            origins = page.records.mapNotNull { it.origin },
             next = page.nextPosition,
             isLast = page.isLast,
         )
@@ -167,6 +181,7 @@
             firstPosition++
             record.turn?.let { turns.remove(it.id) }
             record.use?.let { removeUse(it) }
+            record.origin?.let { origins.remove(it.attemptId) }
         }
     }
 
@@ -184,6 +199,7 @@
 
     private fun isNew(record: StoredRecord): Boolean {
         record.turn?.let { return it.id !in turns }
+        record.origin?.let { return it.attemptId !in origins }
         val use = record.use ?: return false
         val existing = uses[use.programId]?.get(use.attemptId) ?: return true
         return mergeUses(existing, use) != existing
@@ -192,6 +208,7 @@
     private fun addToMemory(record: StoredRecord) {
         arrivalOrder.addLast(record)
         record.turn?.let { turns[it.id] = it }
+        record.origin?.let { origins[it.attemptId] = it }
         record.use?.let { use ->
             uses.getOrPut(use.programId) { HashMap() }.merge(use.attemptId, use, ::mergeUses)
             val serverId = use.serverId
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -68,6 +68,8 @@
         callHandler(TurnMethods.use) { request, reply ->
             repository.storeUses(request) { reply(if (request.reservation == null) it else it.copy(requestLimits = permits.limits)) }
         },
+        callHandler(TurnMethods.keepOrigin, repository::storeOrigin),
+        callHandler(TurnMethods.findOrigin) { request, reply -> reply(repository.findOrigin(request)) },
         callHandler(TurnMethods.permit) { request, reply -> reply(permits.decide(request, entryHosts.count())) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
         callHandler(TurnMethods.offer) { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } },
--- a/gateway/src/test/kotlin/lavendertrail/gateway/StreamVersionTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/StreamVersionTest.kt
@@ -24,7 +24,12 @@
     private val servers =
         listOf("v1", "v2").associateWith { version ->
             ScriptedServer { head, _ ->
-                val id = Regex("X-Attempt: (\\S+)").find(head)?.groupValues?.get(1).orEmpty()
+                val id =
+                    Regex("X-Attempt: (\\S+)")
+                        .find(head)
+                        ?.groupValues
+                        ?.get(1)
+                        .orEmpty()
                 val isResumed = "X-After" in head
                 val event = (if (isResumed) lastEvent else firstEvent).replace("VERSION", version)
                 val end = if (isResumed) "0\r\n\r\n" else CLOSE_MARKER
