Repeat calls to turn hosts whose connection was reset

Cause: one reset connection counted as a failed call and made the turn host unresponsive until the next probe, up to 250 ms later. With all connections reset at once, no majority was left. Callers resume streams just after such resets.

Ruled out: hosts that were really away. The same hosts answered all other entry hosts.

Change: when a connection that has carried replies ends, its pending calls are made once more on a new connection, and only a failure there makes the host unresponsive. All calls between hosts may be repeated.

Test: TurnPeerTest "a call whose connection is reset is repeated and the host is not taken as lost" fails on the code before, where the call gets no reply.

--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import io.grpc.CallOptions
 import io.grpc.ManagedChannel
 import io.grpc.MethodDescriptor
@@ -54,6 +55,7 @@
     /** Number of failed calls since the last successful one. */
     private var consecutiveFailures = 0
     private var nextCallNumber = 0L
+    private var isClosed = false
 
     /** Start time of each pending call by call number, oldest first. */
     private val callStartMillis = LinkedHashMap<Long, Long>()
@@ -81,16 +83,34 @@
     ) {
         val name = method.bareMethodName.orEmpty()
         val number = nextCallNumber++
-        val callSession = session ?: Session().also { session = it }
+        val frame = CallFrame(number, name, method.streamRequest(request).readAllBytes())
+        var callSession = currentSession()
         callStartMillis[number] = nowMillis()
         val timeout = loop.schedule({ callSession.fail(number, timeoutError(timeoutMillis)) }, timeoutMillis, TimeUnit.MILLISECONDS)
-        callSession.send(CallFrame(number, name, method.streamRequest(request).readAllBytes())) { result ->
+
+        fun finish(result: Result<CallFrame, Throwable>) {
             timeout.cancel(false)
             callStartMillis.remove(number)
             onResult(result.fold({ decodeReply(method, it) }, { Err(StepError(name, address, it.toString())) }))
         }
+        callSession.send(frame) { result ->
+            if (result.getError() is ConnectionLost && !isClosed) {
+                // All calls may be repeated, and a connection that worked may have been reset while the host is well.
+                callSession = currentSession()
+                callSession.send(frame, ::finish)
+            } else {
+                finish(result)
+            }
+        }
     }
 
+    private fun currentSession(): Session = session ?: Session().also { session = it }
+
+    /** A connection that had carried replies has ended. */
+    private class ConnectionLost(
+        cause: Throwable,
+    ) : Exception("connection lost: $cause", cause)
+
     private fun <Q : Any, R : Any> decodeReply(
         method: MethodDescriptor<Q, R>,
         frame: CallFrame,
@@ -112,6 +132,7 @@
     private inner class Session : StreamObserver<CallFrame> {
         private val channel: ManagedChannel = newChannel()
         private val pendingCalls = LinkedHashMap<Long, (Result<CallFrame, Throwable>) -> Unit>()
+        private var hasReplied = false
         private val requests = ClientCalls.asyncBidiStreamingCall(channel.newCall(TurnMethods.session, CallOptions.DEFAULT), this)
 
         fun send(
@@ -124,6 +145,7 @@
 
         override fun onNext(frame: CallFrame) {
             val onReply = pendingCalls.remove(frame.callId) ?: return
+            hasReplied = true
             consecutiveFailures = 0
             firstReplyMillis = firstReplyMillis ?: nowMillis()
             closeIfUnused()
@@ -144,9 +166,10 @@
         override fun onError(error: Throwable) {
             val failedCalls = pendingCalls.values.toList()
             pendingCalls.clear()
-            recordFailure(this)
+            if (hasReplied) replace(this) else recordFailure(this)
             closeIfUnused()
-            failedCalls.forEach { it(Err(error)) }
+            val failure = if (hasReplied) ConnectionLost(error) else error
+            failedCalls.forEach { it(Err(failure)) }
         }
 
         override fun onCompleted() = onError(Status.UNAVAILABLE.withDescription("session ended by the host").asRuntimeException())
@@ -177,7 +200,11 @@
     /** Replaces the connection after a call that got no reply, since a connection may be dead while new ones would work. */
     private fun recordFailure(failedSession: Session) {
         consecutiveFailures++
-        if (session === failedSession) session = null
+        replace(failedSession)
+    }
+
+    private fun replace(endedSession: Session) {
+        if (session === endedSession) session = null
     }
 
     private fun newChannel(): ManagedChannel =
@@ -195,6 +222,7 @@
             .build()
 
     override fun close() {
+        isClosed = true
         session?.close()
     }
 }
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnPeerTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnPeerTest.kt
@@ -70,6 +70,25 @@
         }
     }
 
+    @Test
+    fun `a call whose connection is reset is repeated and the host is not taken as lost`() {
+        val held = CopyOnWriteArrayList<() -> Unit>()
+        val echoAfterFirst =
+            callHandler(TurnMethods.meet) { request, reply ->
+                if (request.relayAddress == "held" && held.isEmpty()) held += {} else reply(MeetReply(listOf(request.relayAddress)))
+            }
+        withPeer(echoAfterFirst) { peer, proxy ->
+            assertEquals(listOf("a"), peer.relayAddresses("a").get()?.relayAddresses)
+            val received = CopyOnWriteArrayList<List<String>?>()
+            clientGroup.execute { peer.call(TurnMethods.meet, MeetRequest("held"), 2_000) { received += it.get()?.relayAddresses } }
+            TurnHostsFixture.awaitCondition("request at the host", timeoutMillis = 2_000) { held.isNotEmpty() }
+            proxy.resetConnections()
+            TurnHostsFixture.awaitCondition("reply on a new connection", timeoutMillis = 2_000) { received.isNotEmpty() }
+            assertEquals(listOf<List<String>?>(listOf("held")), received.toList())
+            assertEquals(false, clientGroup.next().submit<Boolean> { peer.isUnresponsive }.get())
+        }
+    }
+
     @Test
     fun `an unknown method fails without ending the other calls`() {
         withPeer(echo) { peer, _ ->
--- a/standins/src/main/kotlin/lavendertrail/standins/LoopbackProxy.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/LoopbackProxy.kt
@@ -80,6 +80,15 @@
         isSilent = false
     }
 
+    /** Resets all open connections on both sides; new ones are accepted. */
+    public fun resetConnections() {
+        for (socket in sockets) {
+            // With a linger time of zero, closing sends a reset.
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+    }
+
     override fun close() {
         isSilent = false
         acceptor.close()
