Let permits lapse whose grant arrives after a suspension

Cause: when the clocks show that the host was suspended, permits in force were dropped, but a grant that was still on its way was judged by the monotonic clock, which may not show the suspension.

Change: a suspension also makes outstanding permit requests lapse; their grant leads to a new question.

Test: PermitFlowTest "a permit whose grant arrives after a pause that the monotonic clock doesn't show is not used".

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -12,7 +12,8 @@
     val isFirstTurn: Boolean = false,
     val permit: Permit? = null,
     val permitRequests: Int = 0,
-    val permitRequestedAtMillis: Long = 0,
+    /** When the outstanding permit was requested; null if none is outstanding or it has lapsed. */
+    val permitRequestedAtMillis: Long? = null,
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val awaitsOrigin: Boolean = false,
--- a/core/src/main/kotlin/lavendertrail/serving/PermitFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PermitFlow.kt
@@ -33,17 +33,19 @@
 
 internal fun ServingWork.handlePermitDecided(event: PermitDecided) {
     val pending = pendingRequest(event.key)
-    val askedAtMillis = pending?.permitRequestedAtMillis ?: nowMillis
+    val requestedAtMillis = pending?.permitRequestedAtMillis
     val decision = event.decision ?: decideWithoutPacer(event.candidates, event.maxWaitMillis)
     // A turn host that has just started knows no entry hosts yet.
     event.entryHostCount?.takeIf { it > 0 }?.let { parts = parts.copy(entryHostCount = it) }
     for ((serverId, waitMillis) in decision.nextWaitMillis) {
         updateServer(serverId) { it.copy(nextPermitAtMillis = nowMillis + waitMillis) }
     }
-    for (serverId in decision.unlimitedServerIds) endRequestLimit(serverId, askedAtMillis, isObserved = false)
     if (pending == null) return
+    if (requestedAtMillis == null) return placeRequest(event.key)
+    for (serverId in decision.unlimitedServerIds) endRequestLimit(serverId, requestedAtMillis, isObserved = false)
     if (decision.serverId == null) return placeRequest(event.key)
-    putRequest(pending.copy(permit = Permit(decision.serverId, nowMillis + decision.waitMillis, askedAtMillis + decision.waitMillis)))
+    val permit = Permit(decision.serverId, nowMillis + decision.waitMillis, requestedAtMillis + decision.waitMillis)
+    putRequest(pending.copy(permit = permit, permitRequestedAtMillis = null))
     usePermit(event.key)
 }
 
@@ -67,12 +69,12 @@
     if (isLapsed || server == null) placeRequest(key) else sendToServer(used, server)
 }
 
-/** Makes all permits lapse: the process stood still for an unknown time. */
+/** Makes all permits lapse, also those whose grant is still on its way: the process stood still for an unknown time. */
 internal fun ServingWork.dropPermits() {
-    val waiting = parts.requests.values.filter { it.permit != null }
-    for (pending in waiting) {
-        putRequest(pending.copy(permit = null))
-        placeRequest(pending.key)
+    val affected = parts.requests.values.filter { it.permit != null || it.permitRequestedAtMillis != null }
+    for (pending in affected) {
+        putRequest(pending.copy(permit = null, permitRequestedAtMillis = null))
+        if (pending.permit != null) placeRequest(pending.key)
     }
 }
 
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -77,7 +77,7 @@
         }.service
 }
 
-/** Requests the turn's history and budget and the origin of a resumed stream concurrently, since each takes a round trip to the turn hosts. */
+/** Requests the turn's history and budget, and a resumed stream's origin, at once, since each takes a round trip to the turn hosts. */
 private fun ServingWork.requestHistoryAndBudget(pending: PendingRequest) {
     val request = pending.request
     val timeoutMillis = minOf(settings.turnLookupTimeoutMillis, pending.remainingMillis(nowMillis))
--- a/core/src/test/kotlin/lavendertrail/serving/PermitFlowTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/PermitFlowTest.kt
@@ -50,6 +50,17 @@
         assertIs<RequestPermit>(bench.effects.single())
     }
 
+    @Test
+    fun `a permit whose grant arrives after a pause that the monotonic clock doesn't show is not used`() {
+        stateLimit()
+        bench.arrive(2, bench.plainRequest("/tools/x", deadlineMillis = 3_000))
+        bench.apply(ProcessPaused)
+        decide(2, "tool-1")
+        assertIs<RequestPermit>(bench.effects.single())
+        decide(2, "tool-1")
+        assertEquals("tool-1", bench.singleEffect<SendToServer>().server.id)
+    }
+
     @Test
     fun `a request without a permit in time is refused at once as not run`() {
         stateLimit()
