--- a/gateway/src/test/kotlin/lavendertrail/gateway/RequestLimitTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/RequestLimitTest.kt
@@ -21,11 +21,7 @@
     fun `a server that states a limit gets no more than that from all entry hosts together`() {
         EntryHostsUnderLoad(hostCount = 4, limit = LIMIT_PER_SECOND).use { load ->
             load.run(RUN_MILLIS)
-            val arrivals = load.arrivalsMillis()
-            val counted = arrivals.filter { it > arrivals.first() + SETTLING_MILLIS }
-            val most = counted.maxOf { start -> counted.count { it in start until start + WINDOW_MILLIS } }
-            val allowed = LIMIT_PER_SECOND * TOLERANCE * WINDOW_MILLIS / 1_000 + EXTRA_REQUESTS
-            assertTrue(most <= allowed, "$most requests in $WINDOW_MILLIS ms, allowed are $allowed")
+            val counted = assertWithinLimit(load.arrivalsMillis())
             val expected = LIMIT_PER_SECOND * (RUN_MILLIS - SETTLING_MILLIS) / 1_000
             assertTrue(counted.size >= expected / 2, "${counted.size} requests although the server accepts $expected")
         }
@@ -41,11 +37,7 @@
                 }
             load.run(RUN_MILLIS)
             stopping.join()
-            val arrivals = load.arrivalsMillis()
-            val counted = arrivals.filter { it > arrivals.first() + SETTLING_MILLIS }
-            val most = counted.maxOf { start -> counted.count { it in start until start + WINDOW_MILLIS } }
-            val allowed = LIMIT_PER_SECOND * TOLERANCE * WINDOW_MILLIS / 1_000 + EXTRA_REQUESTS
-            assertTrue(most <= allowed, "$most requests in $WINDOW_MILLIS ms, allowed are $allowed")
+            assertWithinLimit(load.arrivalsMillis())
         }
     }
 
@@ -63,6 +55,15 @@
         }
     }
 
+    /** Returns the requests that count, once all entry hosts know the limit. */
+    private fun assertWithinLimit(arrivalsMillis: List<Long>): List<Long> {
+        val counted = arrivalsMillis.filter { it > arrivalsMillis.first() + SETTLING_MILLIS }
+        val most = counted.maxOf { start -> counted.count { it in start until start + WINDOW_MILLIS } }
+        val allowed = LIMIT_PER_SECOND * TOLERANCE * WINDOW_MILLIS / 1_000 + EXTRA_REQUESTS
+        assertTrue(most <= allowed, "$most requests in $WINDOW_MILLIS ms, allowed are $allowed")
+        return counted
+    }
+
     private companion object {
         const val LIMIT_PER_SECOND = 5.0
         const val RUN_MILLIS = 6_000L
