Reset all connections of the loopback proxy without a race

The stack shows the race: closing one side of a connection makes its pump close the other side, before that side's linger time was set.

Ruled out: the code under test; the exception is thrown before any call.

Change: the linger time of all sockets is set before the first is closed, and a socket that has ended meanwhile is skipped.

Result: the four tests of TurnPeerTest pass.

--- a/standins/src/main/kotlin/lavendertrail/standins/LoopbackProxy.kt
+++ b/standins/src/main/kotlin/lavendertrail/standins/LoopbackProxy.kt
@@ -4,6 +4,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
 
@@ -82,11 +83,17 @@
 
     /** Resets all open connections on both sides; new ones are accepted. */
     public fun resetConnections() {
-        for (socket in sockets) {
-            // With a linger time of zero, closing sends a reset.
-            socket.setSoLinger(true, 0)
-            socket.close()
+        val open = sockets.toList()
+        for (socket in open) {
+            try {
+                // With a linger time of zero, closing sends a reset.
+                socket.setSoLinger(true, 0)
+            } catch (_: SocketException) {
+                // The connection has ended meanwhile.
+            }
         }
+        // Closed only now, since a pump closes the other side of a connection as soon as one is closed.
+        open.forEach { it.close() }
     }
 
     override fun close() {
