--- a/review/2/UnreadableEntry.java
+++ b/review/2/UnreadableEntry.java
@@ -7,8 +7,8 @@
  * gateways go on sending the route's requests to the old service.
  */
 final class UnreadableEntry {
-    /** One hundredth of `valueBytes`. */
-    private static final int VALUE_BYTES = 10_000;
+    /** One thousandth of `valueBytes`. */
+    private static final int VALUE_BYTES = 1_000;
     private static final int CONFIG_MS = 2_000;
     private static final int REQUESTS = 10;
 
--- a/review/lib/Backend.java
+++ b/review/lib/Backend.java
@@ -104,6 +104,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
     private volatile boolean registered;
+    private volatile long born = System.currentTimeMillis();
     private volatile boolean closed;
     private final Thread heartbeat;
 
@@ -128,15 +129,17 @@
 
     private String entry(String state, int seq) {
         return Json.write(Json.of("service", service, "address", address(), "zone", zone, "version", "v1", "slots", slots,
-            "state", state, "coldLeftMs", 0, "seq", seq));
+            "state", state, "coldLeftMs", 0, "seq", seq, "born", born));
     }
 
     String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    /** Crashes: all connections are reset, nothing listens, and the entry stays until the store removes it. */
+    /** Crashes: all connections are reset, and nothing listens for [downMs]. The server says nothing meanwhile; its entry stays. */
     synchronized void crash(long downMs) {
+        if (!registered) return;
+        registered = false;
         int port = listener.getLocalPort();
         try {
             listener.close();
@@ -156,6 +159,8 @@
             Rig.pause(downMs);
             try {
                 listen(port);
+                born = System.currentTimeMillis();
+                registered = true;
             } catch (IOException e) {
                 Rig.log("server " + id + " could not come back: " + e);
             }
--- a/review/lib/Proxy.java
+++ b/review/lib/Proxy.java
@@ -8,15 +8,11 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/**
- * Forwards connections to one address. While it refuses, open connections are reset and new ones are closed at once. It can let all
- * open connections go silent for good, while new ones work.
- */
+/** Forwards connections to one address. While it refuses, open connections are reset and new ones are closed at once. */
 final class Proxy implements AutoCloseable {
     private final ServerSocket listener;
     private final InetSocketAddress target;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
     private volatile boolean refuses;
 
     Proxy(String target) throws IOException {
@@ -34,12 +30,6 @@
         if (on) open.forEach(Proxy::reset);
     }
 
-    /** Lets all open connections go silent: they stay open, and what is sent on them gets lost. Returns their number. */
-    int silence() {
-        silent.addAll(open);
-        return silent.size() / 2;
-    }
-
     private void accept() {
         while (!listener.isClosed()) {
             try {
@@ -67,9 +57,9 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             byte[] buffer = new byte[65_536];
-            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) if (!silent.contains(from)) out.write(buffer, 0, n);
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) out.write(buffer, 0, n);
             open.remove(from);
-            if (!silent.contains(from)) to.shutdownOutput();
+            to.shutdownOutput();
         } catch (IOException e) {
             reset(from);
             reset(to);
