Restore the copies of records after the list of turn hosts changes

Cause: a turn got its copies when it was stored, and nothing made them again when a host with one of them left the list. SIGTERM handed nothing over. Ruled out: an incomplete copy after the lost disk; it read both other hosts to the end, and neither had the turns.

Change: after each change of the list every member asks the others which of its records they lack and sends those with too few copies on (RecordRepair); the settled list is on disk (KnownHosts). A host that is stopped while the list has members to spare makes the copies before it ends. Three waits of the maintenance threads end as errors and no longer end the thread.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -93,7 +93,17 @@
     public val onSnapshot: (KeyValueSnapshot) -> Unit,
     public val onBatch: (WatchBatch) -> Unit,
     public val onReachable: (Boolean) -> Unit,
-)
+) {
+    /** A listener that calls [action] after each snapshot and each batch. */
+    internal fun andThen(action: () -> Unit): StoreListener =
+        StoreListener({
+            onSnapshot(it)
+            action()
+        }, {
+            onBatch(it)
+            action()
+        }, onReachable)
+}
 
 /** Returns the entry with [key], or null if the snapshot doesn't contain it. */
 public fun KeyValueSnapshot.entry(key: String): KeyValue? = entries.firstOrNull { it.key == key }
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
@@ -0,0 +1,94 @@
+package lavendertrail.turns
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption.ATOMIC_MOVE
+import java.nio.file.StandardOpenOption.CREATE
+import java.nio.file.StandardOpenOption.READ
+import java.nio.file.StandardOpenOption.TRUNCATE_EXISTING
+import java.nio.file.StandardOpenOption.WRITE
+
+/**
+ * The newest list of turn hosts that this host has read, and the newest one for which all records of this host have enough copies
+ * ([settledRevision]). Both are on disk, so that a restart during an outage of the platform's store forgets neither.
+ */
+internal class KnownHosts(
+    private val folder: Path,
+) {
+    @Volatile
+    var listing = TurnHostListing(emptyList(), 0)
+        private set
+
+    /** 0 if this host has not settled any list yet. */
+    @Volatile
+    var settledRevision = 0L
+        private set
+
+    val isSettled: Boolean get() = settledRevision == listing.revision
+
+    /** Reads the list that an earlier run saved; an unreadable file counts as none, since the list is also in the platform's store. */
+    fun load() {
+        val file = folder.resolve(FILE_NAME)
+        if (!Files.exists(file)) return
+        val saved =
+            try {
+                json.decodeFromString(SavedList.serializer(), Files.readString(file))
+            } catch (_: SerializationException) {
+                return
+            }
+        val hosts = TurnHostDirectory.decode(saved.hosts) ?: return
+        listing = TurnHostListing(hosts, saved.revision)
+        settledRevision = saved.settledRevision
+    }
+
+    /** Replaces the list by [newer]; false if [newer] is not newer. The caller saves it before it relies on it after a restart. */
+    @Synchronized
+    fun adopt(newer: TurnHostListing): Boolean {
+        if (newer.revision <= listing.revision) return false
+        listing = newer
+        return true
+    }
+
+    /** Records, durably, that all records that were stored before the list of [revision] was known have enough copies. */
+    @Synchronized
+    @Throws(IOException::class)
+    fun settle(revision: Long) {
+        settledRevision = maxOf(settledRevision, revision)
+        save()
+    }
+
+    /** Writes the list to disk. */
+    @Synchronized
+    @Throws(IOException::class)
+    fun save() {
+        Files.createDirectories(folder)
+        val saved = SavedList(listing.revision, settledRevision, TurnHostDirectory.encode(listing.hosts))
+        val bytes = ByteBuffer.wrap(json.encodeToString(SavedList.serializer(), saved).toByteArray())
+        val newFile = folder.resolve("$FILE_NAME.new")
+        FileChannel.open(newFile, CREATE, WRITE, TRUNCATE_EXISTING).use { channel ->
+            while (bytes.hasRemaining()) channel.write(bytes)
+            channel.force(true)
+        }
+        Files.move(newFile, folder.resolve(FILE_NAME), ATOMIC_MOVE)
+        // The new name lasts over a power loss only once the folder is synced too.
+        FileChannel.open(folder, READ).use { it.force(true) }
+    }
+
+    @Serializable
+    private data class SavedList(
+        val revision: Long,
+        val settledRevision: Long,
+        val hosts: String,
+    )
+
+    private companion object {
+        const val FILE_NAME = "turn-hosts"
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- a/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
@@ -10,6 +10,7 @@
 import lavendertrail.serving.TurnHost
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 /**
  * Retires this turn host at an operator's request: offers all records to the other turn hosts, refuses further writes, offers the
@@ -67,7 +68,12 @@
             val after = nextOfferPositions[other] ?: 0L
             val pageFuture = CompletableFuture<TurnRepository.RecordPage>()
             loop.execute { pageFuture.complete(repository.recordsAfter(after)) }
-            val page = pageFuture.get(OFFER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            val page =
+                try {
+                    pageFuture.get(OFFER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                } catch (_: TimeoutException) {
+                    return logFailure(StepError("read records", ownHost.name, "no result within $OFFER_TIMEOUT_MILLIS ms"))
+                }
             val reply = peer.callBlocking(loop, TurnMethods.offer, OfferRequest(page.records), OFFER_TIMEOUT_MILLIS)
             if (!reply.fold({ it.isKept }, ::logFailure)) return false
             nextOfferPositions[other] = page.nextPosition
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
@@ -9,6 +9,7 @@
 import lavendertrail.serving.TurnHost
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 /**
  * Copies records that this turn host lacks from other turn hosts. A failed copy is resumed from its last position, unless the
@@ -65,7 +66,12 @@
     private fun storeRecords(records: List<StoredRecord>): Boolean {
         val stored = CompletableFuture<Boolean>()
         loop.execute { repository.importRecords(records) { stored.complete(it) } }
-        return stored.get(DISK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        return try {
+            stored.get(DISK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            // The disk has stalled; the copy is resumed later, and the calling function reports the failed write.
+            false
+        }
     }
 
     private fun diskFailure() = StepError("adopt", ownHost.name, "write to the turn log failed")
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnHostDirectory.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnHostDirectory.kt
@@ -69,7 +69,7 @@
                 null
             }
 
-        private fun encode(hosts: List<TurnHost>): String =
+        internal fun encode(hosts: List<TurnHost>): String =
             json.encodeToString(hosts.sortedBy { it.name }.map { Entry(it.name, it.address, it.failureDomain.value) })
     }
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
@@ -15,4 +15,7 @@
     public val copies: Int get() = tolerance + 1
     public val quorum: Int get() = maxOf(hosts.size / 2 + 1, copies)
     public val isSufficient: Boolean get() = hosts.size >= copies
+
+    /** The number of hosts that must have [record]; all of them if there are fewer than it needs. */
+    internal fun copiesOf(record: StoredRecord): Int = minOf(if (record.use != null) quorum else copies, hosts.size)
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -117,8 +117,46 @@
 ) {
     val expiresAtEpochMillis: Long
         get() = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: origin?.expiresAtEpochMillis ?: 0
+
+    /** The text whose rendezvous hash orders the hosts of the record. */
+    val placementKey: String get() = turn?.programId ?: use?.programId ?: origin?.attemptId.orEmpty()
+
+    val sizeBytes: Int get() = ESTIMATED_USE_BYTES + (turn?.sizeBytes ?: 0)
+
+    val key: RecordKey
+        get() =
+            RecordKey(
+                turnId = turn?.id,
+                programId = use?.programId,
+                attemptId = use?.attemptId ?: origin?.attemptId,
+                isSettled = use?.isSettled ?: false,
+            )
 }
 
+private const val ESTIMATED_USE_BYTES = 100
+
+/** Identifies a record: a turn by [turnId], a use by [programId] and [attemptId], the origin of a stream by [attemptId] alone. */
+@Serializable
+internal data class RecordKey(
+    val turnId: String? = null,
+    val programId: String? = null,
+    val attemptId: String? = null,
+    /** Whether the use is settled; a reservation of the same attempt doesn't replace it. */
+    val isSettled: Boolean = false,
+)
+
+/** Asks which of the records with [keys] the host lacks. */
+@Serializable
+internal class MissingRequest(
+    val keys: List<RecordKey>,
+)
+
+/** Indices of the request's keys. */
+@Serializable
+internal class MissingReply(
+    val indices: List<Int>,
+)
+
 /** A call to the turn host at [hostAddress], sent through another entry host because the turn host doesn't respond directly. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 private const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 private const val CONNECT_TIMEOUT_MILLIS = 300
@@ -194,7 +195,11 @@
         val result = CompletableFuture<Result<R, StepError>>()
         loop.execute { call(method, request, timeoutMillis) { result.complete(it) } }
         // The call itself ends at its timeout; the margin allows for a busy event loop.
-        return result.get(timeoutMillis * 2, TimeUnit.MILLISECONDS)
+        return try {
+            result.get(timeoutMillis * 2, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            peerTimeout(method.bareMethodName.orEmpty(), address, timeoutMillis * 2)
+        }
     }
 
     /** Replaces the connection after a call that got no reply, since a connection may be dead while new ones would work. */
@@ -226,3 +231,10 @@
         session?.close()
     }
 }
+
+/** The error of a blocking call whose result didn't arrive, which happens when the process was suspended. */
+internal fun peerTimeout(
+    step: String,
+    peer: String,
+    timeoutMillis: Long,
+) = Err(StepError(step, peer, "no result within $timeoutMillis ms"))
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -134,7 +134,7 @@
         while (position - firstPosition < arrivalOrder.size && records.size < limit && sizeBytes < MAX_PAGE_BYTES) {
             val record = arrivalOrder[(position - firstPosition).toInt()]
             records += record
-            sizeBytes += ESTIMATED_USE_BYTES + (record.turn?.sizeBytes ?: 0)
+            sizeBytes += record.sizeBytes
             position++
         }
         return RecordPage(records, position, isLast = position - firstPosition >= arrivalOrder.size)
@@ -163,6 +163,30 @@
     /** Returns those of [turnIds] that are not stored here. */
     fun findMissing(turnIds: List<String>): List<String> = turnIds.filter { it !in turns }
 
+    /** Returns the records of [request] that are not stored here. */
+    fun findMissing(request: MissingRequest): MissingReply =
+        MissingReply(
+            request.keys
+                .withIndex()
+                .filter { (_, key) -> !has(key) }
+                .map { it.index },
+        )
+
+    private fun has(key: RecordKey): Boolean {
+        if (key.turnId != null) return key.turnId in turns
+        val programId = key.programId ?: return key.attemptId in origins
+        val use = uses[programId]?.get(key.attemptId) ?: return false
+        return use.isSettled || !key.isSettled
+    }
+
+    /** Returns all unexpired records, without those that later ones have replaced. */
+    fun currentRecords(): List<StoredRecord> =
+        (
+            turns.values.map { StoredRecord(turn = it) } +
+                uses.values.flatMap { it.values }.map { StoredRecord(use = it) } +
+                origins.values.map { StoredRecord(origin = it) }
+        ).filterNot(::isExpired)
+
     /** Stores records of another host that are not stored here yet, and reports whether all of them are on disk. */
     fun importRecords(
         records: List<StoredRecord>,
@@ -247,7 +271,6 @@
         const val COMPLETE_MARKER = "complete"
         const val MAX_PAGE_BYTES = 500_000
         const val MAX_PAGE_RECORDS = 5_000
-        const val ESTIMATED_USE_BYTES = 100
 
         /** Tolerates clock skew between hosts and clock adjustments. */
         const val EXPIRY_MARGIN_MILLIS = 30_000L
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -72,6 +72,7 @@
         callHandler(TurnMethods.findOrigin) { request, reply -> reply(repository.findOrigin(request)) },
         callHandler(TurnMethods.permit) { request, reply -> reply(permits.decide(request, entryHosts.count())) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
+        callHandler(TurnMethods.missing) { request, reply -> reply(repository.findMissing(request)) },
         callHandler(TurnMethods.offer) { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } },
         callHandler(TurnMethods.copy) { request, reply -> reply(repository.readCopyPage(request)) },
     )
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -11,6 +11,7 @@
 import lavendertrail.model.StepError
 import lavendertrail.ports.KeyValueService
 import lavendertrail.serving.TurnHost
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
@@ -32,11 +33,16 @@
             log.event("disk failed") { put("error", message) }
         }
     private val mirror = StoreMirror()
-    private val watcher = StoreWatcher(service, log, mirror.listener(), settings.storeWatchPauseMillis)
     private val directory = TurnHostDirectory(service, mirror)
+    private val knownHosts = KnownHosts(settings.folder)
+    private val watcher = StoreWatcher(service, log, mirror.listener().andThen(::adoptCachedList), settings.storeWatchPauseMillis)
     private val copier = TurnCopier(ownHost, repository, group)
+    private val repair = RecordRepair(ownHost, repository, group, settings.diskTolerance, log)
     private var server: Server? = null
 
+    /** Signals the repair thread that the list of hosts has changed. */
+    private val listChanges = Semaphore(0)
+
     private var hasJoined = false
 
     @Volatile
@@ -44,6 +50,7 @@
 
     public fun start() {
         runOnLoop { repository.open() }
+        knownHosts.load()
         if (settings.isFirstStart && !repository.isComplete) runOnLoop { repository.markComplete() }
         log.event("disk opened") {
             put("turns", repository.turnCount)
@@ -54,6 +61,32 @@
         loop.scheduleAtFixedRate({ repository.removeExpired() }, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         watcher.start()
         thread(name = "turn-store", isDaemon = true) { maintain() }
+        thread(name = "turn-repair", isDaemon = true) { repairAfterChanges() }
+    }
+
+    private fun adoptCachedList() {
+        val listing = directory.cached() ?: return
+        if (knownHosts.adopt(listing)) listChanges.release()
+    }
+
+    /** Restores the number of copies of all records after each change of the list of hosts. */
+    private fun repairAfterChanges() {
+        while (!isStopping) {
+            listChanges.tryAcquire(REPAIR_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+            listChanges.drainPermits()
+            try {
+                settleList()
+            } catch (e: Exception) {
+                log.error("repair of records failed", e)
+            }
+        }
+    }
+
+    private fun settleList() {
+        val listing = knownHosts.listing
+        if (knownHosts.isSettled || !repository.isComplete || ownHost !in listing.hosts) return
+        knownHosts.save()
+        if (repair.repair(listing)) knownHosts.settle(listing.revision)
     }
 
     /** Joins the other turn hosts, then renews the registration and removes dead hosts. */
@@ -80,7 +113,7 @@
                 if (!retirement.isRequested && (!isMember || !repository.isComplete)) joinTurnHosts()
                 if (!retirement.isDone) liveness.renewLeaseAndRemoveDeadHost()
                 retirement.advance()
-            } catch (e: RuntimeException) {
+            } catch (e: Exception) {
                 log.error("turn store maintenance failed", e)
             }
             Thread.sleep(MAINTENANCE_INTERVAL_MILLIS)
@@ -128,8 +161,31 @@
         loop.submit(task).get()
     }
 
-    /** Ends calls in progress and writes accepted records to disk. */
+    /** Hands over the records if this host may be removed from the list, ends calls in progress and writes accepted records to disk. */
     public fun stop() {
+        isStopping = true
+        if (canBeRemoved()) handOver()
+        close()
+    }
+
+    /** A host of a list without spare members stays listed until it is back, so that its copies aren't needed elsewhere. */
+    private fun canBeRemoved(): Boolean {
+        val hosts = knownHosts.listing.hosts
+        return ownHost in hosts && hosts.size > 2 * settings.diskTolerance + 1 && repository.isComplete
+    }
+
+    /** Refuses further records, so that those handed over are all of this host. */
+    private fun handOver() {
+        try {
+            runOnLoop { repository.seal() }
+            repair.handOver(knownHosts.listing)
+        } catch (e: Exception) {
+            log.error("handing over records failed", e)
+        }
+    }
+
+    /** Ends calls in progress and writes accepted records to disk, as far as the process has time for it. */
+    internal fun close() {
         isStopping = true
         server?.shutdown()?.awaitTermination(SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         repository.close()
@@ -138,6 +194,9 @@
     private companion object {
         const val EXPIRY_INTERVAL_MILLIS = 2_000L
 
+        /** Between attempts to repair records that still have too few copies. */
+        const val REPAIR_INTERVAL_MILLIS = 500L
+
         /** One third of the liveness lease TTL. */
         const val MAINTENANCE_INTERVAL_MILLIS = 1_000L
         const val SHUTDOWN_TIMEOUT_MILLIS = 500L
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -1,6 +1,7 @@
 package lavendertrail.turns
 
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import io.netty.channel.EventLoopGroup
 import lavendertrail.gateway.StructuredLog
@@ -66,6 +67,14 @@
         folders.remove(name)
     }
 
+    /** Ends the host [name] as SIGKILL does, and discards its disk. */
+    fun killAndDiscardDisk(name: String) {
+        val runningHost = running.remove(name) ?: return
+        runningHost.store.close()
+        runningHost.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+        folders.remove(name)
+    }
+
     fun requestRetirement(name: String) {
         retirementRequested += name
     }
@@ -110,6 +119,23 @@
         return result.get(5, TimeUnit.SECONDS)
     }
 
+    /** The number of running hosts that have the turn [id]. */
+    fun copiesOf(id: String): Int = copiesOf(RecordKey(turnId = id))
+
+    /** The number of running hosts that have the record with [key]. */
+    fun copiesOf(key: RecordKey): Int =
+        listedHosts().filter { it.name in running }.count { host ->
+            val reply = CompletableFuture<Boolean>()
+            val peer = TurnPeer(host.address, clientGroup)
+            onClientLoop {
+                peer.call(TurnMethods.missing, MissingRequest(listOf(key)), CALL_TIMEOUT_MILLIS) { result ->
+                    reply.complete(result.fold({ it.indices.isEmpty() }, { false }))
+                    peer.close()
+                }
+            }
+            reply.get(5, TimeUnit.SECONDS)
+        }
+
     fun reserve(
         attempt: String,
         tokens: Int,
@@ -138,7 +164,7 @@
     ): T = group.next().submit(task).get()
 
     override fun close() {
-        running.keys.toList().forEach(::stop)
+        running.keys.toList().forEach(::killAndDiscardDisk)
         onClientLoop { client.close() }
         clientGroup.shutdownGracefully()
         service.close()
