Skip entries of servers that can't be read, and keep following the store

Cause: the JSON parser is recursive; on a stack of 256 KB it raises a StackOverflowError, which no handler caught. The watch's thread ended without a report, and the feed waited for that report for ever.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnector.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnector.kt
@@ -65,3 +65,18 @@
 /** Parses an address such as `10.1.4.7:7400`. */
 public fun socketAddress(address: String): InetSocketAddress =
     InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
+/** Whether [text] is an IPv4 address with a port to which a connection can be opened. */
+public fun isSocketAddress(text: String): Boolean {
+    val parts =
+        SOCKET_ADDRESS
+            .matchEntire(text)
+            ?.groupValues
+            ?.drop(1)
+            ?.map { it.toInt() } ?: return false
+    return parts.dropLast(1).all { it <= MAX_OCTET } && parts.last() in 1..MAX_PORT
+}
+
+private val SOCKET_ADDRESS = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})""")
+private const val MAX_OCTET = 255
+private const val MAX_PORT = 65_535
--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -34,7 +34,8 @@
         while (!isClosed) {
             try {
                 service.range("").fold(::watchFrom, ::handleListFailure)
-            } catch (e: RuntimeException) {
+            } catch (e: Throwable) {
+                // Whatever a single entry causes, the process must go on following the store.
                 log.error("store feed failed", e)
                 Thread.sleep(RETRY_MILLIS)
             }
--- a/gateway/src/test/kotlin/lavendertrail/gateway/StoreWatcherTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/StoreWatcherTest.kt
@@ -62,6 +62,23 @@
         }
     }
 
+    // An entry that exhausted the stack of this thread ended it, and the process never read a change again (review/2).
+    @Test
+    fun `the store is followed further after an error of the listener`() {
+        BusyStore().use { store ->
+            val batches = AtomicInteger()
+            val failures = AtomicInteger()
+            val listener =
+                StoreListener({ if (failures.incrementAndGet() == 1) throw StackOverflowError() }, { batches.incrementAndGet() }, {})
+            StoreWatcher(store, StructuredLog("n"), listener).use { watcher ->
+                watcher.start()
+                val deadlineNanos = System.nanoTime() + 5_000_000_000
+                while (batches.get() == 0 && System.nanoTime() < deadlineNanos) Thread.sleep(20)
+                assertTrue(batches.get() > 0, "no change was reported after the error")
+            }
+        }
+    }
+
     @Test
     fun `the pause is a quarter of the shorter bound`() {
         assertEquals(500, storeWatchPauseMillis(configBoundMillis = 2_000, drainBoundMillis = 3_000))
