Keep the chain of a turn for as long as the turn can be continued

Cause: each turn expired by itself, and the entry host took the missing predecessor of a turn that it had found as proof that there is no such turn.

A host that keeps a turn for a shorter time counts as lacking it when hosts are copied or copies repaired. A gap in a chain is answered as uncertain and logged.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -33,6 +33,7 @@
 import lavendertrail.serving.streamOrigin
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnRecord
+import lavendertrail.turns.turnExpiry
 import java.io.ByteArrayOutputStream
 
 /** Executes the effects of the serving reducer and submits their results as events. */
@@ -227,7 +228,9 @@
         val retentionMillis = attempt.effect.turnRetentionMillis
         if (retentionMillis == null) return completeRequest(exchange, attempt, STATUS_OK) { exchange.connection.endResponse() }
         val startedMillis = nowMillis()
-        turnClient.storeTurn(exchange.toTurnRecord(retentionMillis), STORE_TIMEOUT_MILLIS) { isStored ->
+        val nowEpochMillis = System.currentTimeMillis()
+        val turn = exchange.toTurnRecord(turnExpiry(nowEpochMillis, retentionMillis))
+        turnClient.storeTurn(turn, STORE_TIMEOUT_MILLIS, exchange.history, nowEpochMillis + retentionMillis) { isStored ->
             metrics.recordTurnSave(nowMillis() - startedMillis)
             when {
                 attempt.isCancelled || exchange.currentAttempt !== attempt -> Unit
@@ -366,14 +369,14 @@
     return text.toByteArray()
 }
 
-private fun Exchange.toTurnRecord(retentionMillis: Long) =
+private fun Exchange.toTurnRecord(expiresAtEpochMillis: Long) =
     TurnRecord(
         id = request.attemptId,
         programId = request.programId.orEmpty(),
         previousId = request.previousTurnId,
         input = body,
         output = output.toByteArray(),
-        expiresAtEpochMillis = System.currentTimeMillis() + retentionMillis,
+        expiresAtEpochMillis = expiresAtEpochMillis,
     )
 
 /** Copies the headers of a server's response without the hop-by-hop headers. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -118,8 +118,29 @@
         hosts.hosts.forEach { host -> peersByHost.getOrPut(host) { TurnPeer(host.address, loop, resolveAddress) } }
     }
 
-    /** Reports whether [TurnHosts.copies] hosts have stored the turn on disk. */
+    /**
+     * Reports whether [TurnHosts.copies] hosts have stored the turn on disk. Turns of the [chain] that it continues are stored again
+     * if they would expire before [chainNeededUntilEpochMillis], since the turn can't be continued without them.
+     */
     fun storeTurn(
+        turn: TurnRecord,
+        timeoutMillis: Long,
+        chain: List<TurnRecord> = emptyList(),
+        chainNeededUntilEpochMillis: Long = 0,
+        onDone: (Boolean) -> Unit,
+    ) {
+        val turns = chain.withExtended(turn, chainNeededUntilEpochMillis)
+        var remaining = turns.size
+        var areStored = true
+        for (record in turns) {
+            storeSingleTurn(record, timeoutMillis) { isStored ->
+                areStored = areStored && isStored
+                if (--remaining == 0) onDone(areStored)
+            }
+        }
+    }
+
+    private fun storeSingleTurn(
         turn: TurnRecord,
         timeoutMillis: Long,
         onDone: (Boolean) -> Unit,
@@ -197,13 +218,22 @@
                 val isCertain = hostsWithoutTurn >= hosts.hosts.size - hosts.tolerance
                 when {
                     isFound -> continueChain(search)
-                    isCertain -> search.onDone(HistoryResult.NO_SUCH_TURN, emptyList())
-                    else -> search.onDone(HistoryResult.UNCERTAIN, emptyList())
+                    isCertain && search.found.isEmpty() -> search.onDone(HistoryResult.NO_SUCH_TURN, emptyList())
+                    else -> {
+                        if (search.found.isNotEmpty()) reportGap(search)
+                        search.onDone(HistoryResult.UNCERTAIN, emptyList())
+                    }
                 }
             },
         )
     }
 
+    /** The turn that the caller named exists, so a missing earlier one doesn't show that there is no such turn. */
+    private fun reportGap(search: ChainSearch) {
+        val newest = search.found.first().id
+        onCallFailure(StepError("load chain", newest, "the earlier turn ${search.missingTurnId} was not found"))
+    }
+
     /**
      * Adds a reservation and reports whether the token use of all attempts of the program fits into [budgetTokens], and the
      * server of the session's last turn if a host knows it. The call also carries the program's pending settlements.
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
@@ -53,7 +53,7 @@
     ): Result<Unit, StepError> {
         val smallRecords = page.uses.map { StoredRecord(use = it) } + page.origins.map { StoredRecord(origin = it) }
         if (!storeRecords(smallRecords)) return Err(diskFailure())
-        var missingTurnIds = onLoop { repository.findMissing(page.turnIds) }
+        var missingTurnIds = onLoop { repository.findMissingTurns(page) }
         while (missingTurnIds.isNotEmpty()) {
             val request = FetchRequest(missingTurnIds)
             val reply = peer.callBlocking(loop, TurnMethods.fetch, request, CALL_TIMEOUT_MILLIS).fold({ it }, { return Err(it) })
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -94,6 +94,8 @@
     val next: Long,
     val isLast: Boolean,
     val origins: List<OriginRecord> = emptyList(),
+    /** The times until which the turns of [turnIds] are kept. */
+    val turnExpiriesEpochMillis: List<Long> = emptyList(),
 )
 
 @Serializable
@@ -130,6 +132,7 @@
                 programId = use?.programId,
                 attemptId = use?.attemptId ?: origin?.attemptId,
                 isSettled = use?.isSettled ?: false,
+                expiresAtEpochMillis = turn?.expiresAtEpochMillis ?: 0,
             )
 }
 
@@ -143,6 +146,8 @@
     val attemptId: String? = null,
     /** Whether the use is settled; a reservation of the same attempt doesn't replace it. */
     val isSettled: Boolean = false,
+    /** The time until which a turn is to be kept; a host that drops it earlier lacks it. */
+    val expiresAtEpochMillis: Long = 0,
 )
 
 /** Asks which of the records with [keys] the host lacks. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -68,9 +68,8 @@
         onReply: (KeepReply) -> Unit,
     ) {
         if (isSealed) return onReply(KeepReply(isKept = false))
-        if (turn.id in turns) return appendToLog(StoredRecord(turn = turn)) { onReply(KeepReply(it)) }
         val record = StoredRecord(turn = turn)
-        addToMemory(record)
+        if (isNew(record)) addToMemory(record)
         appendToLog(record) { onReply(KeepReply(it)) }
     }
 
@@ -116,6 +115,7 @@
         return CopyPage(
             epoch = epoch,
             turnIds = page.records.mapNotNull { it.turn?.id },
+            turnExpiriesEpochMillis = page.records.mapNotNull { it.turn?.expiresAtEpochMillis },
             uses = page.records.mapNotNull { it.use },
             origins = page.records.mapNotNull { it.origin },
             next = page.nextPosition,
@@ -160,8 +160,9 @@
         return FetchReply(turnsFound, handled)
     }
 
-    /** Returns those of [turnIds] that are not stored here. */
-    fun findMissing(turnIds: List<String>): List<String> = turnIds.filter { it !in turns }
+    /** Returns the ids of [page]'s turns that are not stored here for as long as at the other host. */
+    fun findMissingTurns(page: CopyPage): List<String> =
+        page.turnIds.filterIndexed { index, id -> !hasTurn(id, page.turnExpiriesEpochMillis.getOrElse(index) { 0 }) }
 
     /** Returns the records of [request] that are not stored here. */
     fun findMissing(request: MissingRequest): MissingReply =
@@ -173,12 +174,18 @@
         )
 
     private fun has(key: RecordKey): Boolean {
-        if (key.turnId != null) return key.turnId in turns
+        if (key.turnId != null) return hasTurn(key.turnId, key.expiresAtEpochMillis)
         val programId = key.programId ?: return key.attemptId in origins
         val use = uses[programId]?.get(key.attemptId) ?: return false
         return use.isSettled || !key.isSettled
     }
 
+    /** Whether the turn [id] is kept here at least until [expiresAtEpochMillis]. */
+    private fun hasTurn(
+        id: String,
+        expiresAtEpochMillis: Long,
+    ): Boolean = turns[id]?.let { it.expiresAtEpochMillis >= expiresAtEpochMillis } ?: false
+
     /** Returns all unexpired records, without those that later ones have replaced. */
     fun currentRecords(): List<StoredRecord> =
         (
@@ -203,12 +210,18 @@
         while (arrivalOrder.isNotEmpty() && isExpired(arrivalOrder.first())) {
             val record = arrivalOrder.removeFirst()
             firstPosition++
-            record.turn?.let { turns.remove(it.id) }
+            record.turn?.let { removeTurn(it) }
             record.use?.let { removeUse(it) }
             record.origin?.let { origins.remove(it.attemptId) }
         }
     }
 
+    private fun removeTurn(turn: TurnRecord) {
+        val current = turns[turn.id] ?: return
+        // A record that keeps the turn for longer follows in the arrival order.
+        if (current.expiresAtEpochMillis <= turn.expiresAtEpochMillis) turns.remove(turn.id)
+    }
+
     private fun removeUse(use: UseRecord) {
         val entries = uses[use.programId] ?: return
         val current = entries[use.attemptId] ?: return
@@ -222,7 +235,7 @@
     }
 
     private fun isNew(record: StoredRecord): Boolean {
-        record.turn?.let { return it.id !in turns }
+        record.turn?.let { return !hasTurn(it.id, it.expiresAtEpochMillis) }
         record.origin?.let { return it.attemptId !in origins }
         val use = record.use ?: return false
         val existing = uses[use.programId]?.get(use.attemptId) ?: return true
@@ -231,7 +244,7 @@
 
     private fun addToMemory(record: StoredRecord) {
         arrivalOrder.addLast(record)
-        record.turn?.let { turns[it.id] = it }
+        record.turn?.let { if (!hasTurn(it.id, it.expiresAtEpochMillis)) turns[it.id] = it }
         record.origin?.let { origins[it.attemptId] = it }
         record.use?.let { use ->
             uses.getOrPut(use.programId) { HashMap() }.merge(use.attemptId, use, ::mergeUses)
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnCallCountTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnCallCountTest.kt
@@ -50,7 +50,7 @@
             val result = reserved.get(5, TimeUnit.SECONDS)
             val stored = CompletableFuture<Boolean>()
             val turn = TurnRecord(attempt, program, null, ByteArray(10), ByteArray(10), System.currentTimeMillis() + 60_000)
-            onLoop { client.storeTurn(turn, 2_000, stored::complete) }
+            onLoop { client.storeTurn(turn, 2_000, onDone = stored::complete) }
             assertTrue(stored.get(5, TimeUnit.SECONDS), attempt)
             onLoop { client.settle(use(program, attempt, 10, isSettled = true)) }
             return result
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -105,7 +105,18 @@
     ): Boolean {
         val result = CompletableFuture<Boolean>()
         val turn = TurnRecord(id, "p", previous, "in-$id".toByteArray(), "out-$id".toByteArray(), System.currentTimeMillis() + 60_000)
-        on(on) { by.storeTurn(turn, CALL_TIMEOUT_MILLIS, result::complete) }
+        on(on) { by.storeTurn(turn, CALL_TIMEOUT_MILLIS, onDone = result::complete) }
+        return result.get(5, TimeUnit.SECONDS)
+    }
+
+    /** Stores [turn] with the [chain] that it continues, which is needed until [chainNeededUntilEpochMillis]. */
+    fun save(
+        turn: TurnRecord,
+        chain: List<TurnRecord>,
+        chainNeededUntilEpochMillis: Long,
+    ): Boolean {
+        val result = CompletableFuture<Boolean>()
+        onClientLoop { client.storeTurn(turn, CALL_TIMEOUT_MILLIS, chain, chainNeededUntilEpochMillis, result::complete) }
         return result.get(5, TimeUnit.SECONDS)
     }
 
