Report a turn as nonexistent only by the current list of turn hosts

Cause: an entry host took all but `tolerance` hosts of whatever list it had read last as proof. The copies were made by another list, and the two may differ by any number of hosts. Ruled out: incomplete disks, and lost copies.

Change: calls carry the revision of the caller's list; a turn host that knows a newer one refuses and returns it, and the caller repeats the call by it. The list changes only once a majority and all live members have settled it. Hosts that leave with copies are recorded until these are replaced.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -33,6 +33,7 @@
 import lavendertrail.serving.streamOrigin
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnRecord
+import lavendertrail.turns.storeTurn
 import lavendertrail.turns.turnExpiry
 import java.io.ByteArrayOutputStream
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -24,10 +24,12 @@
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.reduceServing
 import lavendertrail.serving.servingState
+import lavendertrail.turns.CurrentTurnHosts
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.TurnHosts
 import lavendertrail.turns.startRelayServer
 import java.io.IOException
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
@@ -41,6 +43,8 @@
     private val group: EventLoopGroup,
     private val log: StructuredLog,
     private val metrics: GatewayMetrics,
+    /** Reads the current list of turn hosts from the platform's store; null if it can't be read. Called on a thread of its own. */
+    private val readTurnHosts: () -> CurrentTurnHosts? = { null },
 ) {
     private val loop: EventLoop = group.next()
     private val callerConnections = mutableSetOf<CallerConnection>()
@@ -56,11 +60,15 @@
     private var wereTurnCallsRelayed = false
     private var drainStartedAtMillis = 0L
     private val clockCheck = ClockCheck()
+    private val turnHostReader =
+        Executors.newSingleThreadExecutor { task -> thread(start = false, isDaemon = true, name = "turn-host-reader") { task.run() } }
     private val turnClient =
         TurnClient(
             loop = group,
             ownFailureDomain = settings.failureDomain,
             cacheBytes = settings.turnCacheBytes,
+            readCurrentHosts = { onResult -> turnHostReader.execute { onResult(readTurnHosts()) } },
+            onHostsLearnt = ::logLearntHosts,
             onLimitsLearnt = { submit(RequestLimitsLearnt(it)) },
             onCallFailure = { log.warn("turn host call failed", it) },
         )
@@ -118,6 +126,13 @@
         step.effects.forEach(::execute)
     }
 
+    private fun logLearntHosts(hosts: TurnHosts) {
+        log.event("turn hosts learnt") {
+            put("hosts", hosts.hosts.joinToString(",") { it.name })
+            put("revision", hosts.revision)
+        }
+    }
+
     public fun updateTurnHosts(hosts: TurnHosts) {
         loop.execute { turnClient.updateHosts(hosts) }
     }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -18,6 +18,7 @@
 import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
+import lavendertrail.turns.loadChain
 import lavendertrail.turns.loadOrigin
 import lavendertrail.turns.reportLimit
 import lavendertrail.turns.requestPermit
--- a/gateway/src/main/kotlin/lavendertrail/turns/CallFrame.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/CallFrame.kt
@@ -7,23 +7,32 @@
 import java.nio.BufferUnderflowException
 import java.nio.ByteBuffer
 
-/**
- * A request or its reply on a [TurnMethods.session] stream. A reply has the [callId] of its request, and [isFailed] is set if the
- * request was not handled.
- */
+/** A request or its reply on a [TurnMethods.session] stream. A reply has the [callId] of its request. */
 internal class CallFrame(
     val callId: Long,
     val method: String,
     val payload: ByteArray,
-    val isFailed: Boolean = false,
+    val outcome: CallOutcome = CallOutcome.HANDLED,
+    /** The revision of the list of turn hosts by which a request was sent; 0 if it doesn't depend on a list. */
+    val listRevision: Long = 0,
 )
 
-/** Encodes a frame as call id, failure flag, length of the method name, method name, and payload up to the end of the message. */
+/** What became of a request. The order is that of the codes on the wire. */
+internal enum class CallOutcome {
+    HANDLED,
+    FAILED,
+
+    /** The host knows a newer list of turn hosts than the request was sent by; the payload is that list. */
+    NEWER_LIST,
+}
+
+/** Encodes a frame as call id, outcome, list revision, length of the method name, method name, and payload up to the end. */
 internal object CallFrameMarshaller : MethodDescriptor.Marshaller<CallFrame> {
     override fun stream(value: CallFrame): InputStream {
         val method = value.method.toByteArray()
         val buffer = ByteBuffer.allocate(FIXED_BYTES + method.size + value.payload.size)
-        buffer.putLong(value.callId).put(if (value.isFailed) 1 else 0).put(method.size.toByte())
+        buffer.putLong(value.callId).put(value.outcome.ordinal.toByte()).putLong(value.listRevision)
+        buffer.put(method.size.toByte())
         buffer.put(method).put(value.payload)
         return ByteArrayInputStream(buffer.array())
     }
@@ -32,10 +41,11 @@
         try {
             val buffer = ByteBuffer.wrap(stream.readAllBytes())
             val callId = buffer.getLong()
-            val isFailed = buffer.get() != 0.toByte()
+            val outcome = CallOutcome.entries.getOrElse(buffer.get().toInt()) { CallOutcome.FAILED }
+            val listRevision = buffer.getLong()
             val method = ByteArray(buffer.get().toInt() and 0xFF).also { buffer.get(it) }
             val payload = ByteArray(buffer.remaining()).also { buffer.get(it) }
-            CallFrame(callId, String(method), payload, isFailed)
+            CallFrame(callId, String(method), payload, outcome, listRevision)
         } catch (e: BufferUnderflowException) {
             throw Status.INVALID_ARGUMENT
                 .withDescription("truncated call frame")
@@ -43,5 +53,5 @@
                 .asRuntimeException()
         }
 
-    private const val FIXED_BYTES = 10
+    private const val FIXED_BYTES = 18
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/CallHandlers.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/CallHandlers.kt
@@ -18,9 +18,34 @@
         handle(method.parseRequest(ByteArrayInputStream(request))) { reply(method.streamResponse(it).readAllBytes()) }
     }
 
+/**
+ * Refuses requests that were sent by an older list of turn hosts than [knownList]: their quorums and copies need not meet those of
+ * the newer list. The caller gets the newer list and repeats the request by it.
+ */
+internal class ListFence(
+    private val methods: Set<String>,
+    private val knownList: () -> TurnHostListing,
+) {
+    /** The reply to [request] if it is refused. */
+    fun refusalOf(request: CallFrame): CallFrame? {
+        if (request.method !in methods || request.listRevision == 0L) return null
+        val listing = knownList()
+        // A host that has read no list doesn't know whether it still belongs to the current one.
+        if (listing.revision == 0L) return CallFrame(request.callId, request.method, ByteArray(0), CallOutcome.FAILED)
+        if (request.listRevision >= listing.revision) return null
+        return CallFrame(request.callId, request.method, listing.toBytes(), CallOutcome.NEWER_LIST)
+    }
+
+    companion object {
+        /** Refuses nothing. */
+        val NONE = ListFence(emptySet()) { TurnHostListing(emptyList(), 0) }
+    }
+}
+
 /** Serves one session: applies [handlers] to the requests of a peer and ends once the peer has ended and no reply is pending. */
 internal class ServedSession(
     private val handlers: Map<String, CallHandler>,
+    private val fence: ListFence,
     private val replies: ServerCallStreamObserver<CallFrame>,
 ) : StreamObserver<CallFrame> {
     private var pendingReplies = 0
@@ -35,6 +60,7 @@
         pendingReplies++
         val handler = handlers[request.method]
         if (handler == null) return send(request.failedReply())
+        fence.refusalOf(request)?.let { return send(it) }
         try {
             handler(request.payload) { send(CallFrame(request.callId, request.method, it)) }
         } catch (_: StatusRuntimeException) {
@@ -43,7 +69,7 @@
         }
     }
 
-    private fun CallFrame.failedReply() = CallFrame(callId, method, ByteArray(0), isFailed = true)
+    private fun CallFrame.failedReply() = CallFrame(callId, method, ByteArray(0), CallOutcome.FAILED)
 
     private fun send(reply: CallFrame) {
         pendingReplies--
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/turns/ListChanges.kt
@@ -0,0 +1,89 @@
+package lavendertrail.turns
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
+import io.netty.channel.EventLoopGroup
+import kotlinx.serialization.json.put
+import lavendertrail.gateway.StructuredLog
+import lavendertrail.model.StepError
+import lavendertrail.serving.TurnHost
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/**
+ * Decides whether the list of turn hosts may be changed: only once a majority of its members and all live ones have settled it.
+ *
+ * Members that have settled a list refuse calls by older lists, and their records are at quorums of the list. So the quorums of two
+ * consecutive lists meet, and a caller with a list that is older than that gets no quorum.
+ */
+internal class ListChanges(
+    private val ownHost: TurnHost,
+    private val knownHosts: KnownHosts,
+    private val group: EventLoopGroup,
+    private val log: StructuredLog,
+) {
+    private val loop = group.next()
+
+    /** Whether [listing] may be replaced, given the hosts with live entries. Announces [listing] to its members on the way. */
+    fun isAllowed(
+        listing: TurnHostListing,
+        liveNames: Set<String>,
+    ): Boolean {
+        val settled = settledMembers(listing, listing.revision)
+        val unsettledLive = listing.hosts.map { it.name }.filter { it in liveNames && it !in settled }
+        val isAllowed = unsettledLive.isEmpty() && settled.size > listing.hosts.size / 2
+        if (!isAllowed) {
+            log.event("list change delayed") {
+                put("revision", listing.revision)
+                put("settled", settled.joinToString(","))
+                put("live", liveNames.joinToString(","))
+            }
+        }
+        return isAllowed
+    }
+
+    /** The names of the members of [listing] that have settled it or a later list than that of [revision]. */
+    fun settledMembers(
+        listing: TurnHostListing,
+        revision: Long,
+    ): Set<String> {
+        val peers = listing.hosts.filter { it.name != ownHost.name }.associateWith { TurnPeer(it.address, group) }
+        try {
+            val replies = peers.mapValues { (_, peer) -> startCall(peer, listing) }
+            val settledOthers =
+                replies.filter { (host, reply) -> (await(host, reply).get()?.settledRevision ?: 0) >= revision }.keys.map { it.name }
+            val isSettledHere = ownHost in listing.hosts && knownHosts.settledRevision >= revision
+            return settledOthers.toSet() + listOfNotNull(ownHost.name.takeIf { isSettledHere })
+        } finally {
+            loop.execute { peers.values.forEach { it.close() } }
+        }
+    }
+
+    private fun startCall(
+        peer: TurnPeer,
+        listing: TurnHostListing,
+    ): CompletableFuture<Result<ListStateReply, StepError>> {
+        val result = CompletableFuture<Result<ListStateReply, StepError>>()
+        loop.execute {
+            peer.call(TurnMethods.listState, ListStateRequest(listing.toBytes()), CALL_TIMEOUT_MILLIS) { result.complete(it) }
+        }
+        return result
+    }
+
+    private fun await(
+        host: TurnHost,
+        reply: CompletableFuture<Result<ListStateReply, StepError>>,
+    ): Result<ListStateReply, StepError> =
+        try {
+            reply.get(CALL_TIMEOUT_MILLIS * 2, TimeUnit.MILLISECONDS).onFailure { log.warn("list state not received", it) }
+        } catch (_: TimeoutException) {
+            peerTimeout("ListState", host.address, CALL_TIMEOUT_MILLIS * 2)
+        }
+
+    private companion object {
+        /** Several times a round trip; calls to all members run at the same time. */
+        const val CALL_TIMEOUT_MILLIS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
@@ -24,6 +24,7 @@
     private val ownHost: TurnHost,
     private val tolerance: Int,
     private val log: StructuredLog,
+    private val listChanges: ListChanges? = null,
     private val nowMillis: () -> Long = ::nowMillis,
 ) {
     private var leaseId: Long? = null
@@ -32,7 +33,9 @@
     fun renewLeaseAndRemoveDeadHost() {
         val lease = leaseId
         if (lease == null || service.keepAlive(lease).get() == false) register()
-        if (mirror.isCurrent) removeDeadHost() else missingSinceMillis.clear()
+        if (!mirror.isCurrent) return missingSinceMillis.clear()
+        removeDeadHost()
+        if (directory.hasDeparted && directory.liveNames().minOrNull() == ownHost.name) forgetDepartedHosts()
     }
 
     private fun register() {
@@ -47,7 +50,7 @@
     }
 
     private fun removeDeadHost() {
-        val live = mirror.keys(TurnHostDirectory.LIVE_PREFIX).mapTo(mutableSetOf()) { it.removePrefix(TurnHostDirectory.LIVE_PREFIX) }
+        val live = directory.liveNames()
         val listing = directory.cached() ?: return
         val now = nowMillis()
         missingSinceMillis.keys.retainAll { it !in live }
@@ -57,12 +60,47 @@
         // Hosts are removed one at a time: quorums of entry hosts whose lists differ by one host still overlap for every budget.
         val removedHost = deadHosts.firstOrNull() ?: return
         if (liveHostCount < 2 * tolerance + 1 || live.minOrNull() != ownHost.name) return
+        if (listChanges?.isAllowed(listing, live) == false || !recordDeparture(removedHost, listing)) return
         directory.removeDeadHost(removedHost, listing).fold({ isWritten ->
             if (isWritten) log.event("turn host removed") { put("host", removedHost.name) }
         }, { log.warn("turn host removal failed", it) })
     }
 
+    /** Records that copies leave with [host], before it leaves; false if that couldn't be written. */
+    private fun recordDeparture(
+        host: TurnHost,
+        listing: TurnHostListing,
+    ): Boolean {
+        val departed = directory.readDeparted().onFailure { log.warn("turn host removal failed", it) }.get() ?: return false
+        if (departed.hosts.any { it.name == host.name && it.listRevision == listing.revision }) return true
+        val pending = listing.hosts.map { it.name } - host.name
+        val entry = DepartedHost(host.name, listing.revision, pending, System.currentTimeMillis())
+        return directory
+            .writeDeparted(departed.hosts + entry, departed.revision)
+            .onFailure { log.warn("turn host removal failed", it) }
+            .get() ?: false
+    }
+
+    /** Drops the departed hosts whose copies all members of that time have replaced. */
+    private fun forgetDepartedHosts() {
+        val listing = directory.cached() ?: return
+        val departed = directory.readDeparted().onFailure { log.warn("departed turn hosts unreadable", it) }.get() ?: return
+        val now = System.currentTimeMillis()
+        val remaining =
+            departed.hosts.filter { host ->
+                val settled = listChanges?.settledMembers(listing, host.listRevision + 1).orEmpty()
+                !settled.containsAll(host.pending) && now - host.removedAtEpochMillis < DEPARTED_RETENTION_MILLIS
+            }
+        if (remaining.size == departed.hosts.size) return
+        directory.writeDeparted(remaining, departed.revision).fold({ isWritten ->
+            if (isWritten) log.event("copies of departed turn hosts replaced") { put("hosts", (departed.hosts - remaining.toSet()).size) }
+        }, { log.warn("departed turn hosts not written", it) })
+    }
+
     private companion object {
+        /** Many times the retention of turns, after which a copy that was lost doesn't matter any more. */
+        const val DEPARTED_RETENTION_MILLIS = 3_600_000L
+
         const val LEASE_TTL_MILLIS = 3_000L
 
         /** In addition to the lease TTL; gives hosts time to renew entries that expired while the store was unavailable. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
@@ -16,19 +16,27 @@
 private const val STORE_ORIGIN_TIMEOUT_MILLIS = 1_000L
 
 /** Stores the origin at as many turn hosts as hold a copy of a turn. */
-internal fun TurnClient.storeOrigin(record: OriginRecord) {
+internal fun TurnClient.storeOrigin(
+    record: OriginRecord,
+    timeoutMillis: Long = STORE_ORIGIN_TIMEOUT_MILLIS,
+) {
+    val list = hosts
+    val deadline = deadline(timeoutMillis)
     var copiesStored = 0
     queryHosts(
         TurnMethods.keepOrigin,
         record,
-        HostQuery(originHosts(record.attemptId), hosts.copies, STORE_ORIGIN_TIMEOUT_MILLIS),
+        HostQuery(originHosts(record.attemptId), list.copies, timeoutMillis),
         onReply = { reply ->
             if (reply.isKept) copiesStored++
-            if (copiesStored >= hosts.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
+            if (copiesStored >= list.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
         },
         onEnd = {
-            if (copiesStored < hosts.copies) {
-                onCallFailure(StepError("store origin", record.attemptId, "stored by $copiesStored of ${hosts.copies} turn hosts"))
+            when {
+                copiesStored >= list.copies -> Unit
+                isListOutdated(list, deadline) -> storeOrigin(record, remainingMillis(deadline))
+                else ->
+                    onCallFailure(StepError("store origin", record.attemptId, "stored by $copiesStored of ${list.copies} turn hosts"))
             }
         },
     )
@@ -44,6 +52,8 @@
     onDone: (origin: StreamOrigin?, isCertain: Boolean) -> Unit,
 ) {
     if (!isReachable) return onDone(null, false)
+    val list = hosts
+    val deadline = deadline(timeoutMillis)
     var origin: StreamOrigin? = null
     var hostsWithoutOrigin = 0
     queryHosts(
@@ -55,7 +65,13 @@
             if (reply.origin == null && reply.isComplete) hostsWithoutOrigin++
             if (origin != null) ReplyOutcome.SUFFICIENT else ReplyOutcome.NOT_COUNTED
         },
-        onEnd = { onDone(origin, hostsWithoutOrigin >= hosts.hosts.size - hosts.tolerance) },
+        onEnd = {
+            if (origin == null && isListOutdated(list, deadline)) {
+                loadOrigin(attemptId, remainingMillis(deadline), onDone)
+            } else {
+                onDone(origin, hostsWithoutOrigin >= list.hostsOfProof(departedCount = 0))
+            }
+        },
     )
 }
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
@@ -16,6 +16,8 @@
  */
 internal class RelayedCalls(
     private val loop: EventLoopGroup,
+    private val listRevision: () -> Long,
+    private val onNewerList: (TurnHostListing) -> Unit,
 ) : AutoCloseable {
     private var addresses = emptyList<String>()
     private var currentRelay: TurnPeer? = null
@@ -41,7 +43,11 @@
         onResult: (Result<R, StepError>) -> Unit,
     ) {
         val name = method.bareMethodName.orEmpty()
-        call(RelayRequest(address, name, method.streamRequest(request).readAllBytes()), timeoutMillis, MAX_ATTEMPTS) { result ->
+        call(
+            RelayRequest(address, name, method.streamRequest(request).readAllBytes(), listRevision()),
+            timeoutMillis,
+            MAX_ATTEMPTS,
+        ) { result ->
             onResult(
                 result.fold({ bytes ->
                     lastReplyMillis[address] = nowMillis()
@@ -73,10 +79,14 @@
         relay.call(TurnMethods.relay, request, minOf(timeoutMillis, ATTEMPT_TIMEOUT_MILLIS)) { result ->
             result.fold({ reply ->
                 val bytes = reply.reply
-                if (bytes != null) {
-                    onResult(Ok(bytes))
-                } else {
-                    retryOrFail(StepError("relay ${request.method}", relay.address, "host not reached"))
+                val newerList = reply.newerList?.let(::decodeListing)
+                when {
+                    bytes != null -> onResult(Ok(bytes))
+                    newerList != null -> {
+                        onNewerList(newerList)
+                        onResult(Err(StepError("relay ${request.method}", request.hostAddress, "the host has a newer list of turn hosts")))
+                    }
+                    else -> retryOrFail(StepError("relay ${request.method}", relay.address, "host not reached"))
                 }
             }, ::retryOrFail)
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
@@ -24,6 +24,7 @@
     private val isRequestedByOperator: () -> Boolean,
     private val reportStatus: (isDone: Boolean) -> Result<Unit, StepError>,
     private val log: StructuredLog,
+    private val mayChange: (TurnHostListing) -> Boolean = { true },
 ) {
     private val loop = group.next()
     private var isStartReported = false
@@ -46,6 +47,7 @@
         // Entry hosts that have not read the new list yet still send records here; a refusal makes them call another host.
         loop.submit { repository.seal() }.get()
         if (!offerAll(others)) return
+        if (ownHost in listing.hosts && !mayChange(listing)) return
         if (ownHost in listing.hosts && directory.write(others, listing.revision).get() != true) return
         isDone = reportStatus(true).fold({ true }, ::logFailure)
         log.event("retired") { put("reported", isDone) }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -9,7 +9,6 @@
 import lavendertrail.model.FailureDomain
 import lavendertrail.model.StepError
 import lavendertrail.serving.BudgetTally
-import lavendertrail.serving.HistoryResult
 import lavendertrail.serving.ReservationResult
 import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.TurnHost
@@ -28,15 +27,20 @@
     private val ownFailureDomain: FailureDomain,
     cacheBytes: Long,
     private val resolveAddress: (address: String) -> InetSocketAddress = ::socketAddress,
+    /** Reads the current list of turn hosts from the platform's store, which takes a call; null if it can't be read. */
+    readCurrentHosts: (onResult: (CurrentTurnHosts?) -> Unit) -> Unit = { it(null) },
     /** Called with the limits of servers that other entry hosts have reported. */
     private val onLimitsLearnt: (List<StatedLimit>) -> Unit = {},
+    /** Called when a turn host has told a newer list. */
+    private val onHostsLearnt: (TurnHosts) -> Unit = {},
     internal val onCallFailure: (StepError) -> Unit,
 ) : AutoCloseable {
     var hosts = TurnHosts()
         private set
     private val peersByHost = mutableMapOf<TurnHost, TurnPeer>()
-    private val relayedCalls = RelayedCalls(loop)
-    private val cache = TurnCache(cacheBytes)
+    private val relayedCalls = RelayedCalls(loop, { hosts.revision }, ::adopt)
+    internal val cache = TurnCache(cacheBytes)
+    internal val currentHosts = CurrentHostsCheck(loop, readCurrentHosts)
     private val pendingSettlements = PendingSettlements()
 
     /** Whether settlements wait for the next reservation of their program; not in a process that is shutting down. */
@@ -107,132 +111,28 @@
         if (peer.isUnresponsive && isRelayed) {
             relayedCalls.call(peer.address, method, request, timeoutMillis, onResult)
         } else {
-            peer.call(method, request, timeoutMillis, onResult)
+            peer.call(method, request, timeoutMillis, onResult = onResult)
         }
     }
 
+    /** Adopts the list that a turn host has told in reply to a call by an older one. */
+    private fun adopt(listing: TurnHostListing) {
+        if (listing.revision <= hosts.revision) return
+        val newer = TurnHosts(listing.hosts, hosts.tolerance, listing.revision)
+        updateHosts(newer)
+        onHostsLearnt(newer)
+    }
+
+    /** Replaces the list, unless a turn host has already told a newer one. */
     fun updateHosts(hosts: TurnHosts) {
+        if (hosts.revision < this.hosts.revision) return
         this.hosts = hosts
         val removedHosts = peersByHost.keys - hosts.hosts.toSet()
         removedHosts.forEach { peersByHost.remove(it)?.close() }
-        hosts.hosts.forEach { host -> peersByHost.getOrPut(host) { TurnPeer(host.address, loop, resolveAddress) } }
-    }
-
-    /**
-     * Reports whether [TurnHosts.copies] hosts have stored the turn on disk. Turns of the [chain] that it continues are stored again
-     * if they would expire before [chainNeededUntilEpochMillis], since the turn can't be continued without them.
-     */
-    fun storeTurn(
-        turn: TurnRecord,
-        timeoutMillis: Long,
-        chain: List<TurnRecord> = emptyList(),
-        chainNeededUntilEpochMillis: Long = 0,
-        onDone: (Boolean) -> Unit,
-    ) {
-        val turns = chain.withExtended(turn, chainNeededUntilEpochMillis)
-        var remaining = turns.size
-        var areStored = true
-        for (record in turns) {
-            storeSingleTurn(record, timeoutMillis) { isStored ->
-                areStored = areStored && isStored
-                if (--remaining == 0) onDone(areStored)
-            }
-        }
-    }
-
-    private fun storeSingleTurn(
-        turn: TurnRecord,
-        timeoutMillis: Long,
-        onDone: (Boolean) -> Unit,
-    ) {
-        cache.put(turn)
-        if (!hosts.isSufficient) return onDone(false)
-        var copiesStored = 0
-        queryHosts(
-            TurnMethods.keep,
-            turn,
-            HostQuery(rankedHosts(turn.programId), hosts.copies, timeoutMillis),
-            onReply = { reply ->
-                if (reply.isKept) copiesStored++
-                if (copiesStored >= hosts.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
-            },
-            onEnd = { onDone(copiesStored >= hosts.copies) },
-        )
-    }
-
-    /** Reports the chain of turns that ends with [turnId], oldest first. */
-    fun loadChain(
-        turnId: String,
-        programId: String?,
-        timeoutMillis: Long,
-        onDone: (HistoryResult, List<TurnRecord>) -> Unit,
-    ) {
-        continueChain(ChainSearch(turnId, programId.orEmpty(), timeoutMillis, onDone))
+        hosts.hosts.forEach { host -> peersByHost.getOrPut(host) { newPeer(host) } }
     }
 
-    private class ChainSearch(
-        var missingTurnId: String,
-        val programId: String,
-        val timeoutMillis: Long,
-        val onDone: (HistoryResult, List<TurnRecord>) -> Unit,
-    ) {
-        /** Newest first. */
-        val found = mutableListOf<TurnRecord>()
-
-        /** Whether the first turn of the chain has been found. */
-        var isComplete = false
-            private set
-
-        /** Adds [turn] if it is the next missing one. */
-        fun addIfMissing(turn: TurnRecord): Boolean {
-            if (isComplete || turn.id != missingTurnId) return false
-            found += turn
-            val previous = turn.previousId
-            if (previous == null) isComplete = true else missingTurnId = previous
-            return true
-        }
-    }
-
-    private fun continueChain(search: ChainSearch) {
-        while (!search.isComplete) {
-            val turn = cache[search.missingTurnId] ?: break
-            search.addIfMissing(turn)
-        }
-        if (search.isComplete) return search.onDone(HistoryResult.FOUND, search.found.reversed())
-        if (!isReachable) return search.onDone(HistoryResult.UNCERTAIN, emptyList())
-        val wantedTurnId = search.missingTurnId
-        var hostsWithoutTurn = 0
-        var isFound = false
-        queryHosts(
-            TurnMethods.chain,
-            ChainRequest(wantedTurnId),
-            HostQuery(rankedHosts(search.programId), 1, search.timeoutMillis),
-            onReply = { reply ->
-                reply.turns.forEach(cache::put)
-                isFound = reply.turns.count(search::addIfMissing) > 0 || isFound
-                if (reply.turns.isEmpty() && reply.isComplete) hostsWithoutTurn++
-                if (isFound) ReplyOutcome.SUFFICIENT else ReplyOutcome.NOT_COUNTED
-            },
-            onEnd = {
-                // A turn is stored on more hosts than may be lost at once, so this many hosts without it prove that it does not exist.
-                val isCertain = hostsWithoutTurn >= hosts.hosts.size - hosts.tolerance
-                when {
-                    isFound -> continueChain(search)
-                    isCertain && search.found.isEmpty() -> search.onDone(HistoryResult.NO_SUCH_TURN, emptyList())
-                    else -> {
-                        if (search.found.isNotEmpty()) reportGap(search)
-                        search.onDone(HistoryResult.UNCERTAIN, emptyList())
-                    }
-                }
-            },
-        )
-    }
-
-    /** The turn that the caller named exists, so a missing earlier one doesn't show that there is no such turn. */
-    private fun reportGap(search: ChainSearch) {
-        val newest = search.found.first().id
-        onCallFailure(StepError("load chain", newest, "the earlier turn ${search.missingTurnId} was not found"))
-    }
+    private fun newPeer(host: TurnHost) = TurnPeer(host.address, loop, resolveAddress, { this.hosts.revision }, ::adopt)
 
     /**
      * Adds a reservation and reports whether the token use of all attempts of the program fits into [budgetTokens], and the
@@ -245,6 +145,8 @@
         onDone: (ReservationResult, String?) -> Unit,
     ) {
         if (!isReachable) return onDone(ReservationResult.UNCERTAIN, null)
+        val list = hosts
+        val deadline = deadline(timeoutMillis)
         var tally = BudgetTally()
         var recentServerId: String? = null
         var countedReplies = 0
@@ -252,7 +154,7 @@
         queryHosts(
             TurnMethods.use,
             UseRequest(use, settlements),
-            HostQuery(rankedHosts(use.programId), hosts.quorum, timeoutMillis),
+            HostQuery(rankedHosts(use.programId), list.quorum, timeoutMillis),
             onReply = { reply ->
                 val uses = unpackUses(reply.uses)
                 val isCounted = reply.isKept && reply.isComplete && uses != null
@@ -260,12 +162,14 @@
                 if (isCounted) countedReplies++
                 if (uses != null) tally = tally.merge(uses)
                 if (reply.requestLimits.isNotEmpty()) onLimitsLearnt(reply.requestLimits)
-                if (countedReplies >= hosts.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(isCounted)
+                if (countedReplies >= list.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(isCounted)
             },
             onEnd = {
-                if (countedReplies < hosts.quorum) settlements.forEach(::settle)
+                if (countedReplies < list.quorum) settlements.forEach(::settle)
                 when {
-                    countedReplies < hosts.quorum -> onDone(ReservationResult.UNCERTAIN, null)
+                    countedReplies < list.quorum && isListOutdated(list, deadline) ->
+                        reserve(use, budgetTokens, remainingMillis(deadline), onDone)
+                    countedReplies < list.quorum -> onDone(ReservationResult.UNCERTAIN, null)
                     tally.allows(budgetTokens) -> onDone(ReservationResult.RESERVED, recentServerId)
                     else -> onDone(ReservationResult.SPENT, null)
                 }
@@ -273,6 +177,16 @@
         )
     }
 
+    /** Whether the list has changed since [list], so that a call that it failed by may be repeated before [deadlineNanos]. */
+    internal fun isListOutdated(
+        list: TurnHosts,
+        deadlineNanos: Long,
+    ): Boolean = hosts.revision != list.revision && remainingMillis(deadlineNanos) > 0
+
+    internal fun deadline(timeoutMillis: Long): Long = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
+
+    internal fun remainingMillis(deadlineNanos: Long): Long = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime())
+
     /**
      * Replaces a reservation by the tokens that were used. The next reservation of the program usually follows within a few hundred
      * milliseconds and carries the settlement, which saves calls to a majority of the hosts; otherwise it is sent after
@@ -287,27 +201,34 @@
     /** Sends all pending settlements, and later ones without delay; for a process that is shutting down. */
     fun stopDelayingSettlements() {
         delaysSettlements = false
-        pendingSettlements.takeAll().forEach(::sendSettlements)
+        pendingSettlements.takeAll().forEach { sendSettlements(it) }
     }
 
     /**
      * Stores [settlements] of one program at a majority of the hosts. Every later reservation reads at least one of these. A host
      * that misses the call keeps counting the reservation, which is never too low.
      */
-    private fun sendSettlements(settlements: List<UseRecord>) {
+    private fun sendSettlements(
+        settlements: List<UseRecord>,
+        timeoutMillis: Long = SETTLE_TIMEOUT_MILLIS,
+    ) {
         val program = settlements.firstOrNull()?.programId ?: return
+        val list = hosts
+        val deadline = deadline(timeoutMillis)
         var storedCount = 0
         queryHosts(
             TurnMethods.use,
             UseRequest(null, settlements),
-            HostQuery(rankedHosts(program), hosts.quorum, SETTLE_TIMEOUT_MILLIS),
+            HostQuery(rankedHosts(program), list.quorum, timeoutMillis),
             onReply = { reply ->
                 if (reply.isKept) storedCount++
-                if (storedCount >= hosts.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
+                if (storedCount >= list.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
             },
             onEnd = {
-                if (storedCount < hosts.quorum) {
-                    onCallFailure(StepError("settle", program, "stored by $storedCount of ${hosts.quorum} turn hosts"))
+                when {
+                    storedCount >= list.quorum -> Unit
+                    isListOutdated(list, deadline) -> sendSettlements(settlements, remainingMillis(deadline))
+                    else -> onCallFailure(StepError("settle", program, "stored by $storedCount of ${list.quorum} turn hosts"))
                 }
             },
         )
@@ -350,7 +271,7 @@
         onEnd: () -> Unit,
     ) {
         val remainingHosts = ArrayDeque(query.hosts)
-        val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(query.timeoutMillis)
+        val deadlineNanos = deadline(query.timeoutMillis)
         var pendingCalls = 0
         var isEnded = false
 
@@ -363,7 +284,7 @@
         fun callNextHost() {
             val host = remainingHosts.removeFirstOrNull()
             val peer = host?.let { peersByHost[it] }
-            val remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime())
+            val remainingMillis = remainingMillis(deadlineNanos)
             if (peer == null || remainingMillis <= 0) {
                 if (pendingCalls == 0) end()
                 return
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
@@ -11,11 +11,19 @@
 public data class TurnHosts(
     val hosts: List<TurnHost> = emptyList(),
     val tolerance: Int = 1,
+    /** The revision of the list in the platform's store; 0 if it isn't known. */
+    val revision: Long = 0,
 ) {
     public val copies: Int get() = tolerance + 1
     public val quorum: Int get() = maxOf(hosts.size / 2 + 1, copies)
     public val isSufficient: Boolean get() = hosts.size >= copies
 
+    /**
+     * The number of members whose lack of a record proves that it was never stored. Each record is at [copies] members, except that
+     * each of [departedCount] hosts may have taken one copy with it that has not been replaced yet.
+     */
+    internal fun hostsOfProof(departedCount: Int): Int = hosts.size - tolerance + departedCount
+
     /** The number of hosts that must have [record]; all of them if there are fewer than it needs. */
     internal fun copiesOf(record: StoredRecord): Int = minOf(if (record.use != null) quorum else copies, hosts.size)
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -169,13 +169,30 @@
     val hostAddress: String,
     val method: String,
     @ByteString val request: ByteArray,
+    /** The revision of the list of turn hosts by which the request was sent. */
+    val listRevision: Long = 0,
 )
 
-/** [reply] is null if the relaying entry host doesn't reach the turn host either. */
+/** [reply] is null if the relaying entry host doesn't reach the turn host either, or if the host has [newerList]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class RelayReply(
     @ByteString val reply: ByteArray?,
+    @ByteString val newerList: ByteArray? = null,
+)
+
+/** Announces a list of turn hosts, which the host adopts if it is newer than its own, and asks for what the host knows. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal class ListStateRequest(
+    @ByteString val list: ByteArray,
+)
+
+/** The revision of the newest list that the host knows, and of the newest one for which all its records have enough copies. */
+@Serializable
+internal data class ListStateReply(
+    val revision: Long,
+    val settledRevision: Long,
 )
 
 /** Announces the address at which an entry host relays calls, and requests those of other entry hosts. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -26,6 +26,7 @@
     val chain = unary("Chain", ChainRequest.serializer(), ChainReply.serializer())
     val use = unary("Use", UseRequest.serializer(), UseReply.serializer())
     val fetch = unary("Fetch", FetchRequest.serializer(), FetchReply.serializer())
+    val listState = unary("ListState", ListStateRequest.serializer(), ListStateReply.serializer())
     val missing = unary("Missing", MissingRequest.serializer(), MissingReply.serializer())
     val offer = unary("Offer", OfferRequest.serializer(), KeepReply.serializer())
     val meet = unary("Meet", MeetRequest.serializer(), MeetReply.serializer())
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -49,6 +49,10 @@
     val address: String,
     private val loop: EventLoopGroup,
     private val resolveAddress: (address: String) -> InetSocketAddress = ::socketAddress,
+    /** The revision of the list by which calls are made; 0 for calls that don't depend on one. */
+    private val listRevision: () -> Long = { 0 },
+    /** Gets the list of a host that has a newer one and therefore didn't handle a call. */
+    private val onNewerList: (TurnHostListing) -> Unit = {},
 ) : AutoCloseable {
     /** Carries all calls; null before the first call and after a failure. */
     private var session: Session? = null
@@ -80,11 +84,13 @@
         method: MethodDescriptor<Q, R>,
         request: Q,
         timeoutMillis: Long,
+        listRevision: Long = this.listRevision(),
+        onNewerList: (TurnHostListing) -> Unit = this.onNewerList,
         onResult: (Result<R, StepError>) -> Unit,
     ) {
         val name = method.bareMethodName.orEmpty()
         val number = nextCallNumber++
-        val frame = CallFrame(number, name, method.streamRequest(request).readAllBytes())
+        val frame = CallFrame(number, name, method.streamRequest(request).readAllBytes(), listRevision = listRevision)
         var callSession = currentSession()
         callStartMillis[number] = nowMillis()
         val timeout = loop.schedule({ callSession.fail(number, timeoutError(timeoutMillis)) }, timeoutMillis, TimeUnit.MILLISECONDS)
@@ -92,7 +98,7 @@
         fun finish(result: Result<CallFrame, Throwable>) {
             timeout.cancel(false)
             callStartMillis.remove(number)
-            onResult(result.fold({ decodeReply(method, it) }, { Err(StepError(name, address, it.toString())) }))
+            onResult(result.fold({ decodeReply(method, it, onNewerList) }, { Err(StepError(name, address, it.toString())) }))
         }
         callSession.send(frame) { result ->
             if (result.getError() is ConnectionLost && !isClosed) {
@@ -115,12 +121,16 @@
     private fun <Q : Any, R : Any> decodeReply(
         method: MethodDescriptor<Q, R>,
         frame: CallFrame,
+        onNewerList: (TurnHostListing) -> Unit,
     ): Result<R, StepError> =
         try {
-            if (frame.isFailed) {
-                Err(StepError(frame.method, address, "the host did not handle the request"))
-            } else {
-                Ok(method.parseResponse(ByteArrayInputStream(frame.payload)))
+            when (frame.outcome) {
+                CallOutcome.HANDLED -> Ok(method.parseResponse(ByteArrayInputStream(frame.payload)))
+                CallOutcome.FAILED -> Err(StepError(frame.method, address, "the host did not handle the request"))
+                CallOutcome.NEWER_LIST -> {
+                    decodeListing(frame.payload)?.let(onNewerList)
+                    Err(StepError(frame.method, address, "the host has a newer list of turn hosts"))
+                }
             }
         } catch (e: StatusRuntimeException) {
             Err(StepError(frame.method, address, e.toString()))
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRecord.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRecord.kt
@@ -43,5 +43,4 @@
 internal fun List<TurnRecord>.withExtended(
     turn: TurnRecord,
     neededUntilEpochMillis: Long,
-): List<TurnRecord> =
-    filter { it.expiresAtEpochMillis < neededUntilEpochMillis }.map { it.extendedTo(turn.expiresAtEpochMillis) } + turn
+): List<TurnRecord> = filter { it.expiresAtEpochMillis < neededUntilEpochMillis }.map { it.extendedTo(turn.expiresAtEpochMillis) } + turn
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRelay.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRelay.kt
@@ -16,7 +16,10 @@
         val peer = findResponsivePeer(request.hostAddress)
         val method = TurnMethods.relayable[request.method]
         if (peer == null || method == null) return onReply(RelayReply(null))
-        peer.call(method, request.request, CALL_TIMEOUT_MILLIS) { result -> onReply(RelayReply(result.fold({ it }, { null }))) }
+        var newerList: TurnHostListing? = null
+        peer.call(method, request.request, CALL_TIMEOUT_MILLIS, request.listRevision, { newerList = it }) { result ->
+            onReply(RelayReply(result.fold({ it }, { null }), newerList?.toBytes()))
+        }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -15,12 +15,17 @@
 private const val KEEP_ALIVE_MILLIS = 10_000L
 private const val KEEP_ALIVE_TIMEOUT_MILLIS = 2_000L
 
-/** Serves [repository] to other hosts on [address]. All handlers run on [loop], whose single thread is that of the repository. */
+/**
+ * Serves [repository] to other hosts on [address]. All handlers run on [loop], whose single thread is that of the repository.
+ * [onListState] gets the lists that other turn hosts announce, and returns what this host knows.
+ */
 internal fun startTurnServer(
     repository: TurnRepository,
+    knownHosts: KnownHosts,
+    onListState: (ListStateRequest) -> ListStateReply,
     address: InetSocketAddress,
     loop: EventLoopGroup,
-): Server = startCallServer(turnHandlers(repository), address, loop)
+): Server = startCallServer(turnHandlers(repository, onListState), address, loop, ListFence(FENCED_METHODS) { knownHosts.listing })
 
 /** Serves [relay] to other entry hosts on [address]. All handlers run on [loop]. */
 internal fun startRelayServer(
@@ -34,6 +39,7 @@
     handlers: Map<String, CallHandler>,
     address: InetSocketAddress,
     loop: EventLoopGroup,
+    fence: ListFence = ListFence.NONE,
 ): Server =
     NettyServerBuilder
         .forAddress(address)
@@ -46,19 +52,30 @@
         .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .permitKeepAliveTime(KEEP_ALIVE_MILLIS / 2, TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(sessionService(handlers))
+        .addService(sessionService(handlers, fence))
         .build()
         .start()
 
-private fun sessionService(handlers: Map<String, CallHandler>): ServerServiceDefinition =
+private fun sessionService(
+    handlers: Map<String, CallHandler>,
+    fence: ListFence,
+): ServerServiceDefinition =
     ServerServiceDefinition
         .builder(TURN_SERVICE_NAME)
         .addMethod(
             TurnMethods.session,
-            ServerCalls.asyncBidiStreamingCall { ServedSession(handlers, it as ServerCallStreamObserver<CallFrame>) },
+            ServerCalls.asyncBidiStreamingCall { ServedSession(handlers, fence, it as ServerCallStreamObserver<CallFrame>) },
         ).build()
 
-private fun turnHandlers(repository: TurnRepository): Map<String, CallHandler> {
+/** Calls whose quorums and copies depend on the list of turn hosts. */
+private val FENCED_METHODS =
+    listOf(TurnMethods.keep, TurnMethods.chain, TurnMethods.use, TurnMethods.keepOrigin, TurnMethods.findOrigin)
+        .mapTo(mutableSetOf()) { it.bareMethodName.orEmpty() }
+
+private fun turnHandlers(
+    repository: TurnRepository,
+    onListState: (ListStateRequest) -> ListStateReply,
+): Map<String, CallHandler> {
     val entryHosts = EntryHosts(::nowMillis)
     val permits = RequestPermits(::nowMillis)
     return mapOf(
@@ -72,6 +89,7 @@
         callHandler(TurnMethods.findOrigin) { request, reply -> reply(repository.findOrigin(request)) },
         callHandler(TurnMethods.permit) { request, reply -> reply(permits.decide(request, entryHosts.count())) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
+        callHandler(TurnMethods.listState) { request, reply -> reply(onListState(request)) },
         callHandler(TurnMethods.missing) { request, reply -> reply(repository.findMissing(request)) },
         callHandler(TurnMethods.offer) { request, reply -> repository.importRecords(request.records) { reply(KeepReply(it)) } },
         callHandler(TurnMethods.copy) { request, reply -> reply(repository.readCopyPage(request)) },
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -38,10 +38,14 @@
     private val watcher = StoreWatcher(service, log, mirror.listener().andThen(::adoptCachedList), settings.storeWatchPauseMillis)
     private val copier = TurnCopier(ownHost, repository, group)
     private val repair = RecordRepair(ownHost, repository, group, settings.diskTolerance, log)
+    private val listChanges = ListChanges(ownHost, knownHosts, group, log)
     private var server: Server? = null
 
-    /** Signals the repair thread that the list of hosts has changed. */
-    private val listChanges = Semaphore(0)
+    /** Signals the repair thread that a newer list of hosts is known. */
+    private val newLists = Semaphore(0)
+
+    /** Whether the host waits for the members to settle the list that it joins. */
+    private var isJoinDelayed = false
 
     private var hasJoined = false
 
@@ -57,7 +61,7 @@
             put("programs", repository.programCount)
             put("complete", repository.isComplete)
         }
-        server = startTurnServer(repository, socketAddress(settings.address), group)
+        server = startTurnServer(repository, knownHosts, ::exchangeListState, socketAddress(settings.address), group)
         loop.scheduleAtFixedRate({ repository.removeExpired() }, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         watcher.start()
         thread(name = "turn-store", isDaemon = true) { maintain() }
@@ -65,15 +69,24 @@
     }
 
     private fun adoptCachedList() {
-        val listing = directory.cached() ?: return
-        if (knownHosts.adopt(listing)) listChanges.release()
+        directory.cached()?.let(::adopt)
+    }
+
+    private fun adopt(listing: TurnHostListing) {
+        if (knownHosts.adopt(listing)) newLists.release()
+    }
+
+    /** Adopts the list that another turn host announces, and tells it what this host knows. */
+    private fun exchangeListState(request: ListStateRequest): ListStateReply {
+        decodeListing(request.list)?.let(::adopt)
+        return ListStateReply(knownHosts.listing.revision, knownHosts.settledRevision)
     }
 
     /** Restores the number of copies of all records after each change of the list of hosts. */
     private fun repairAfterChanges() {
         while (!isStopping) {
-            listChanges.tryAcquire(REPAIR_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-            listChanges.drainPermits()
+            newLists.tryAcquire(REPAIR_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+            newLists.drainPermits()
             try {
                 settleList()
             } catch (e: Exception) {
@@ -91,7 +104,7 @@
 
     /** Joins the other turn hosts, then renews the registration and removes dead hosts. */
     private fun maintain() {
-        val liveness = Liveness(service, mirror, directory, ownHost, settings.diskTolerance, log)
+        val liveness = Liveness(service, mirror, directory, ownHost, settings.diskTolerance, log, listChanges)
         val retirement =
             Retirement(
                 ownHost = ownHost,
@@ -101,6 +114,7 @@
                 isRequestedByOperator = { retirementRequests.isRequested(mirror) },
                 reportStatus = retirementRequests.report,
                 log = log,
+                mayChange = { listChanges.isAllowed(it, directory.liveNames()) },
             )
         while (!isStopping) {
             try {
@@ -116,11 +130,12 @@
             } catch (e: Exception) {
                 log.error("turn store maintenance failed", e)
             }
-            Thread.sleep(MAINTENANCE_INTERVAL_MILLIS)
+            Thread.sleep(if (isJoinDelayed) JOIN_RETRY_MILLIS else MAINTENANCE_INTERVAL_MILLIS)
         }
     }
 
     private fun joinTurnHosts() {
+        isJoinDelayed = false
         val listing = directory.read().fold({ it }, { return log.warn("turn host list unreadable", it) })
         val others = listing.hosts.filter { it.name != ownHost.name }
         val isMember = listing.hosts.any { it.name == ownHost.name }
@@ -130,6 +145,9 @@
         if (!repository.isComplete) runOnLoop { repository.markComplete() }
         hasJoined = true
         if (ownHost in listing.hosts) return
+        // At the first start of the whole system there are no records yet, and the hosts join at the same moment.
+        isJoinDelayed = !settings.isFirstStart && listing.hosts.isNotEmpty() && !listChanges.isAllowed(listing, directory.liveNames())
+        if (isJoinDelayed) return
         directory.write(others + ownHost, listing.revision).fold({ isWritten ->
             if (isWritten) log.event("joined turn hosts") { put("hosts", (others + ownHost).joinToString(",") { it.name }) }
         }, { log.warn("joining turn hosts failed", it) })
@@ -199,6 +217,9 @@
 
         /** One third of the liveness lease TTL. */
         const val MAINTENANCE_INTERVAL_MILLIS = 1_000L
+
+        /** About the time in which members settle a new list. */
+        const val JOIN_RETRY_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 500L
     }
 }
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import io.netty.channel.EventLoopGroup
+import lavendertrail.gateway.StoreMirror
 import lavendertrail.gateway.StructuredLog
 import lavendertrail.gateway.singleEventLoop
 import lavendertrail.model.FailureDomain
@@ -28,7 +29,15 @@
     private val folders = mutableMapOf<String, Path>()
     private val retirementRequested = mutableSetOf<String>()
     val retired = mutableListOf<String>()
-    val client = TurnClient(clientGroup, FailureDomain("a"), cacheBytes = 0) {}
+    val client = TurnClient(clientGroup, FailureDomain("a"), cacheBytes = 0, readCurrentHosts = ::readCurrentHosts) {}
+
+    /** Reads the list from the store, as an entry host does that the store serves. */
+    fun readCurrentHosts(onResult: (CurrentTurnHosts?) -> Unit) {
+        onResult(readCurrentTurnHosts(TurnHostDirectory(service, StoreMirror())).get())
+    }
+
+    /** The list as an entry host reads it. */
+    fun currentHosts() = TurnHosts(listedHosts(), tolerance, service.get(TurnHostDirectory.KEY).get()?.revision ?: 0)
 
     private class RunningHost(
         val store: TurnStore,
@@ -83,7 +92,7 @@
     fun awaitHosts(vararg names: String): List<TurnHost> {
         awaitCondition("hosts ${names.toList()}") { listedHosts().map { it.name }.sorted() == names.sorted() }
         val hosts = listedHosts()
-        onClientLoop { client.updateHosts(TurnHosts(hosts, tolerance)) }
+        onClientLoop { client.updateHosts(currentHosts()) }
         return hosts
     }
 
@@ -153,9 +162,10 @@
         budget: Int,
         by: TurnClient = client,
         on: EventLoopGroup = clientGroup,
+        program: String = "p",
     ): ReservationResult {
         val result = CompletableFuture<ReservationResult>()
-        val use = UseRecord("p", attempt, tokens, isSettled = false, System.currentTimeMillis() + 60_000)
+        val use = UseRecord(program, attempt, tokens, isSettled = false, System.currentTimeMillis() + 60_000)
         on(on) { by.reserve(use, budget, CALL_TIMEOUT_MILLIS) { outcome, _ -> result.complete(outcome) } }
         return result.get(5, TimeUnit.SECONDS)
     }
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnRelayTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnRelayTest.kt
@@ -28,8 +28,8 @@
             val relayServer = startRelayServer(fixture.client.relay, socketAddress(relayAddress), relayGroup)
             val group = singleEventLoop()
             val through = { address: String -> socketAddress("127.0.0.1:${proxies.getValue(address).port}") }
-            val cutOffClient = TurnClient(group, FailureDomain("a"), cacheBytes = 0, through) {}
-            fixture.on(group) { cutOffClient.updateHosts(TurnHosts(hosts, 1)) }
+            val cutOffClient = TurnClient(group, FailureDomain("a"), cacheBytes = 0, through, fixture::readCurrentHosts) {}
+            fixture.on(group) { cutOffClient.updateHosts(fixture.currentHosts()) }
             try {
                 assertEquals(ReservationResult.RESERVED, fixture.reserve("r1", 60, 100, by = cutOffClient, on = group))
                 TurnHostsFixture.awaitCondition("relay address of the other entry host") {
