Show that budgets hold over old and new lists of turn hosts

Callers saw, in a trial of the review: programs whose turns came through an entry host with an old list and one with the current list got up to 2,080 tokens with a budget of 1,088.

Cause: that of review/4. A quorum of three old hosts needn't meet one of six hosts, and nothing refused the reservation by the old list.

Change: the test.

Evidence: with the fence switched off the test fails (programs above their budget of 100); it passes now.

--- a/gateway/src/test/kotlin/lavendertrail/turns/OldTurnHostListTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/OldTurnHostListTest.kt
@@ -6,13 +6,14 @@
 import lavendertrail.gateway.singleEventLoop
 import lavendertrail.model.FailureDomain
 import lavendertrail.serving.HistoryResult
+import lavendertrail.serving.ReservationResult
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /**
  * Guards against answers from an old list of turn hosts: an entry host that the store refused took two old hosts without a turn as
- * proof that it doesn't exist, while both copies were at new hosts (review/4).
+ * proof that it doesn't exist, while both copies were at new hosts (review/4), and reserved tokens at a quorum of the old list.
  */
 class OldTurnHostListTest {
     /** An entry host with the list of the three first hosts, which can't read the store. */
@@ -87,7 +88,25 @@
         }
     }
 
+    @Test
+    fun `reservations through old and new lists together don't exceed the budget`() {
+        withGrownList { fixture, refused ->
+            val overspent =
+                (1..PROGRAMS).map { "p$it" }.associateWith { program ->
+                    (1..ROUNDS).sumOf { round ->
+                        val viaNew = fixture.reserve("n$round", 10, BUDGET, program = program)
+                        val viaOld = fixture.reserve("o$round", 10, BUDGET, refused.client, refused.group, program)
+                        10 * listOf(viaNew, viaOld).count { it == ReservationResult.RESERVED }
+                    }
+                }.filterValues { it != BUDGET }
+            assertEquals(emptyMap(), overspent)
+        }
+    }
+
     private companion object {
         const val TURNS = 30
+        const val BUDGET = 100
+        const val PROGRAMS = 20
+        const val ROUNDS = 8
     }
 }
