Never use a connection again for an attempt that was refused on it

Other operators reported: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or such a request ran at a second server. It could happen here.

Cause: responses are matched by the attempt id, and a refused request is sent again with the same id. The pool avoided the connection whose latest request had that id; one request of another caller in between made it eligible again.

Change: a connection remembers the ids refused on it, and is closed after 100 refusals.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -150,6 +150,7 @@
             return false
         }
         connection.keepAliveMillis = responseHead.keepAliveMillis
+        if (responseHead.isNotRun || responseHead.isWrongServer) connection.recordRefusal()
         attempt.response = head
         attempt.responseHead = responseHead
         // Only a head that a backend server marked says something about the server's load and limit.
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
@@ -31,8 +31,10 @@
     var keepAliveMillis: Long? = null
 
     /** The attempt id of the latest request. A second copy of its response may still arrive. */
-    var lastAttemptId: String? = null
-        private set
+    private var lastAttemptId: String? = null
+
+    /** The ids of requests that were refused here, and may be sent again. */
+    private val refusedAttemptIds = HashSet<String>()
 
     /** Whether an earlier request was sent, a surplus response to which may arrive in place of the expected one. */
     var isReused = false
@@ -64,6 +66,15 @@
         }
     }
 
+    /** Whether a copy of a response to an earlier request with [attemptId] may still arrive. */
+    fun hasCarried(attemptId: String): Boolean = attemptId == lastAttemptId || attemptId in refusedAttemptIds
+
+    /** Records that the server has refused the latest request. */
+    fun recordRefusal() {
+        lastAttemptId?.let { refusedAttemptIds += it }
+        if (refusedAttemptIds.size >= MAX_REFUSALS) closesAfterResponse = true
+    }
+
     /** Closes the connection without notifying the listener; the server sees the connection close. */
     fun abandon() {
         listener = null
@@ -146,5 +157,8 @@
     private companion object {
         /** Many times the size of a valid response, and a small part of the heap of an entry host. */
         const val MAX_RECEIVED_BYTES = 8_000_000L
+
+        /** Bounds the memory of connections that are kept for long. */
+        const val MAX_REFUSALS = 100
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerPool.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerPool.kt
@@ -16,8 +16,9 @@
     private val idleConnections = mutableMapOf<String, ArrayDeque<ServerConnection>>()
 
     /**
-     * Passes an open connection to [server] to [onResult], or the error of a failed connection attempt. A connection whose latest
-     * request had the same [attemptId] is not used: a late copy of its response would be taken for that of the new request.
+     * Passes an open connection to [server] to [onResult], or the error of a failed connection attempt. A connection that has
+     * carried a request with the same [attemptId] is not used: a late copy of its response would be taken for that of the new
+     * request.
      */
     fun acquire(
         server: BackendServer,
@@ -47,7 +48,7 @@
         val connections = idleConnections[serverId] ?: return null
         while (true) {
             // The most recently used connection is the least likely to be closed by the server.
-            val index = connections.indexOfLast { it.lastAttemptId != attemptId }
+            val index = connections.indexOfLast { !it.hasCarried(attemptId) }
             if (index < 0) return null
             val connection = connections.removeAt(index)
             if (connection.isUsable && connection.isWithinKeepAlive()) return connection
