Keep the uses of a program's budget while the program runs

Each use expired 120 s after it was stored, so a program that runs for longer got the tokens of its first turns twice. No caller reported it.

Change: the reply to a reservation names the uses that expire over a minute before it; the entry host stores them again at a quorum with the next settlement. Repairs compare the times of uses as well.

--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -150,6 +150,7 @@
         var tally = BudgetTally()
         var recentServerId: String? = null
         var countedReplies = 0
+        val expiringUses = mutableMapOf<String, UseRecord>()
         val settlements = pendingSettlements.take(use.programId)
         queryHosts(
             TurnMethods.use,
@@ -161,11 +162,12 @@
                 recentServerId = reply.recentServerId ?: recentServerId
                 if (isCounted) countedReplies++
                 if (uses != null) tally = tally.merge(uses)
+                reply.expiringUses.forEach { expiringUses.merge(it.attemptId, it, ::mergeUses) }
                 if (reply.requestLimits.isNotEmpty()) onLimitsLearnt(reply.requestLimits)
                 if (countedReplies >= list.quorum) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(isCounted)
             },
             onEnd = {
-                if (countedReplies < list.quorum) settlements.forEach(::settle)
+                if (countedReplies < list.quorum) settlements.forEach(::settle) else renew(expiringUses.values, use)
                 when {
                     countedReplies < list.quorum && isListOutdated(list, deadline) ->
                         reserve(use, budgetTokens, remainingMillis(deadline), onDone)
@@ -177,6 +179,17 @@
         )
     }
 
+    /**
+     * Stores [uses] of a program again, for as long as its newest one, so that a program that runs for longer than a use is kept
+     * doesn't get its budget twice. They name no server, since it isn't that of the session's last turn any more.
+     */
+    private fun renew(
+        uses: Collection<UseRecord>,
+        newest: UseRecord,
+    ) {
+        for (use in uses) settle(use.copy(expiresAtEpochMillis = newest.expiresAtEpochMillis, serverId = null))
+    }
+
     /** Whether the list has changed since [list], so that a call that it failed by may be repeated before [deadlineNanos]. */
     internal fun isListOutdated(
         list: TurnHosts,
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -46,6 +46,8 @@
     val isComplete: Boolean,
     /** The server of the session's last turn, or of the program's last turn if the session has none. */
     val recentServerId: String? = null,
+    /** Uses of the program that expire much earlier than the reservation, and must be stored again while the program runs. */
+    val expiringUses: List<UseRecord> = emptyList(),
     /** Limits of servers that the host knows; empty in the reply to a request without a reservation. */
     val requestLimits: List<StatedLimit> = emptyList(),
 )
@@ -132,7 +134,7 @@
                 programId = use?.programId,
                 attemptId = use?.attemptId ?: origin?.attemptId,
                 isSettled = use?.isSettled ?: false,
-                expiresAtEpochMillis = turn?.expiresAtEpochMillis ?: 0,
+                expiresAtEpochMillis = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: 0,
             )
 }
 
@@ -146,7 +148,7 @@
     val attemptId: String? = null,
     /** Whether the use is settled; a reservation of the same attempt doesn't replace it. */
     val isSettled: Boolean = false,
-    /** The time until which a turn is to be kept; a host that drops it earlier lacks it. */
+    /** The time until which a turn or use is to be kept; a host that drops it earlier lacks it. */
     val expiresAtEpochMillis: Long = 0,
 )
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -95,9 +95,15 @@
         val packed = if (reservation == null) ByteArray(0) else packUses(uses[reservation.programId].orEmpty().values)
         val wasComplete = isComplete
         val recentServerId = reservation?.let { recentServers[it.programId]?.forSession(it.sessionId) }
-        appendAllToLog(records) { areStored -> onReply(UseReply(areStored, packed, wasComplete, recentServerId)) }
+        val expiringUses = reservation?.let(::usesExpiringBefore).orEmpty()
+        appendAllToLog(records) { areStored -> onReply(UseReply(areStored, packed, wasComplete, recentServerId, expiringUses)) }
     }
 
+    private fun usesExpiringBefore(reservation: UseRecord): List<UseRecord> =
+        uses[reservation.programId].orEmpty().values.filter {
+            it.expiresAtEpochMillis < reservation.expiresAtEpochMillis - USE_RENEWAL_MILLIS
+        }
+
     fun storeOrigin(
         origin: OriginRecord,
         onReply: (KeepReply) -> Unit,
@@ -177,7 +183,7 @@
         if (key.turnId != null) return hasTurn(key.turnId, key.expiresAtEpochMillis)
         val programId = key.programId ?: return key.attemptId in origins
         val use = uses[programId]?.get(key.attemptId) ?: return false
-        return use.isSettled || !key.isSettled
+        return (use.isSettled || !key.isSettled) && use.expiresAtEpochMillis >= key.expiresAtEpochMillis
     }
 
     /** Whether the turn [id] is kept here at least until [expiresAtEpochMillis]. */
@@ -285,12 +291,19 @@
         const val MAX_PAGE_BYTES = 500_000
         const val MAX_PAGE_RECORDS = 5_000
 
+        /** Half of the time for which entry hosts keep a use, so that a long program stores each of its uses once in that time. */
+        const val USE_RENEWAL_MILLIS = 60_000L
+
         /** Tolerates clock skew between hosts and clock adjustments. */
         const val EXPIRY_MARGIN_MILLIS = 30_000L
     }
 }
 
-private fun mergeUses(
+/** The use that counts, kept for the longer of the two times. */
+internal fun mergeUses(
     existing: UseRecord,
     other: UseRecord,
-): UseRecord = if (existing.tokenUse.merge(other.tokenUse) == existing.tokenUse) existing else other
+): UseRecord {
+    val counted = if (existing.tokenUse.merge(other.tokenUse) == existing.tokenUse) existing else other
+    return counted.copy(expiresAtEpochMillis = maxOf(existing.expiresAtEpochMillis, other.expiresAtEpochMillis))
+}
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -163,9 +163,10 @@
         by: TurnClient = client,
         on: EventLoopGroup = clientGroup,
         program: String = "p",
+        expiresAtEpochMillis: Long = System.currentTimeMillis() + 60_000,
     ): ReservationResult {
         val result = CompletableFuture<ReservationResult>()
-        val use = UseRecord(program, attempt, tokens, isSettled = false, System.currentTimeMillis() + 60_000)
+        val use = UseRecord(program, attempt, tokens, isSettled = false, expiresAtEpochMillis)
         on(on) { by.reserve(use, budget, CALL_TIMEOUT_MILLIS) { outcome, _ -> result.complete(outcome) } }
         return result.get(5, TimeUnit.SECONDS)
     }
