Test a host that is out of step while a new software version joins

Other operators reported: streams of servers of a new version, taken up at a host that was out of step, went on at servers of another version.

Evidence: by reading, a resume goes only to servers of the version that the turn hosts name, and is refused if that is unknown. The test has an entry host with old lists of servers and turn hosts; 12 streams begun at the new version are refused with 503 and none reaches the old version. Change: the test.

--- a/gateway/src/test/kotlin/lavendertrail/gateway/StreamVersionTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/StreamVersionTest.kt
@@ -6,7 +6,6 @@
 import lavendertrail.serving.ServerChanged
 import lavendertrail.serving.ServerRemoved
 import lavendertrail.standins.freePorts
-import lavendertrail.turns.TurnHosts
 import lavendertrail.turns.TurnHostsFixture
 import java.net.Socket
 import java.util.concurrent.TimeUnit
@@ -51,7 +50,7 @@
         init {
             entryHosts += this
             gateway.start()
-            gateway.updateTurnHosts(TurnHosts(turnHosts.listedHosts(), 1))
+            gateway.updateTurnHosts(turnHosts.currentHosts())
             gateway.submit(ConfigAccepted(GatewayFixture.config))
             versions.forEach { gateway.submit(ServerChanged(server(it))) }
         }
@@ -126,6 +125,26 @@
         assertEquals(served, servers.getValue("v2").requests.size)
     }
 
+    // Reported by other operators: a host that was out of step while servers of a new version joined went on with their streams at
+    // servers of the old version.
+    @Test
+    fun `a host with old lists of servers and turn hosts doesn't go on with streams of a version that it doesn't know`() {
+        startTurnHosts()
+        val outOfStep = EntryHost(listOf("v1"))
+        listOf("a2", "b2", "c2").forEach { turnHosts.start(it) }
+        turnHosts.awaitHosts("a1", "a2", "b1", "b2", "c1", "c2")
+        val inStep = EntryHost(listOf("v2"))
+        val begun = (1..STREAMS).map { "began-$it" }
+        begun.forEach { assertNull(inStep.call(it)) }
+        Thread.sleep(RECORDING_MILLIS)
+        turnHosts.stop("a1")
+        for (attempt in begun) {
+            val response = assertNotNull(outOfStep.call("again-$attempt", "X-Resumes: $attempt", "X-After: 1"))
+            assertEquals("503", response.first.split(' ')[1], attempt)
+        }
+        assertEquals(0, servers.getValue("v1").requests.size)
+    }
+
     @Test
     fun `a stream of unknown origin is refused as not run`() {
         startTurnHosts()
@@ -147,5 +166,6 @@
         const val STOP_TIMEOUT_SECONDS = 5L
         const val RECORDING_MILLIS = 300L
         const val RESUMES_PER_STREAM = 6
+        const val STREAMS = 12
     }
 }
