Send no new requests to servers that say that they leave

The code knew nothing of the header.

The mark holds whatever the store says; candidates, permits and requests that wait for a connection are checked against it, idle connections close at once and others after their answer. It ends with a later run under the id, or after an hour. One log line and a counter at the first sight, one line when the entry follows.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -200,7 +200,7 @@
 internal fun ServingWork.candidates(pending: PendingRequest): List<ServerState> {
     val active =
         parts.servers.values.filter {
-            it.server.service == pending.service.name && !it.server.isDraining && pending.fitsVersionOf(it.server)
+            it.server.service == pending.service.name && !it.server.isDraining && !isLeaving(it.server) && pending.fitsVersionOf(it.server)
         }
     val healthy = active.filter { it.backoffUntilMillis <= nowMillis }.ifEmpty { active }
     return healthy.filter { it.server.id !in pending.triedServers }.ifEmpty {
--- a/core/src/main/kotlin/lavendertrail/serving/ServerFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServerFlow.kt
@@ -11,6 +11,7 @@
 }
 
 internal fun ServingWork.addOrUpdateServer(server: BackendServer) {
+    updateLeaving(server.id, server)
     val known = parts.servers[server.id]?.takeIf { it.server.startedEpochMillis == server.startedEpochMillis }
     if (known == null) dropServer(server.id)
     val state =
@@ -28,6 +29,7 @@
 }
 
 internal fun ServingWork.removeServer(id: String) {
+    updateLeaving(id, null)
     if (isWithinExpiryGrace()) {
         updateServer(id) { if (it.expiredAtMillis == null) it.copy(expiredAtMillis = nowMillis) else it }
     } else {
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -94,7 +94,18 @@
     val isChanged: Boolean,
 ) : ServingEffect
 
-/** Closes the connections to a server that was removed. */
+/**
+ * Reports that a server has said in the answer to [key] that it leaves, or later that its entry says so too. [entryLagMillis] is the
+ * time that the entry took; null while it still says otherwise.
+ */
+public data class ReportLeavingServer(
+    val serverId: String,
+    val key: RequestKey?,
+    val isFirst: Boolean,
+    val entryLagMillis: Long?,
+) : ServingEffect
+
+/** Closes the idle connections to a server that was removed or leaves. */
 public data class CloseServerConnections(
     val id: String,
 ) : ServingEffect
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -59,6 +59,12 @@
     val requestsPerSecondLimit: Double? = null,
 ) : ServingEvent
 
+/** [server] has said in its answer to the request [key] that it leaves. */
+public data class ServerLeavingSeen(
+    val key: RequestKey,
+    val server: BackendServer,
+) : ServingEvent
+
 /**
  * An attempt at a server ended. [lastEventId] is the last event of a stream that reached the caller, [isAnswerStarted] tells
  * whether the caller has received any part of an answer, and [detail] is for the log.
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -28,6 +28,7 @@
         is TokensReserved -> work.handleTokensReserved(event)
         is StreamOriginLoaded -> work.handleStreamOriginLoaded(event)
         is AnswerStarted -> work.handleAnswerStarted(event)
+        is ServerLeavingSeen -> work.markLeaving(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
         is PermitDecided -> work.handlePermitDecided(event)
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
@@ -45,6 +46,7 @@
 
 private fun ServingWork.handleTick() {
     dropExpiredServers()
+    forgetLeavingServers()
     releaseEarlyRequests()
     parts.requests.values
         .filter { nowMillis >= it.deadlineAtMillis }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -48,6 +48,8 @@
     val permitValidityMillis: Long = 400,
     /** Interval at which a limit that a server keeps stating is reported to the pacers. */
     val limitReportMillis: Long = 5_000,
+    /** How long a server that has said that it leaves gets no requests, unless it starts again; many times what leaving takes. */
+    val leavingServerRetentionMillis: Long = 3_600_000,
     /** Number of entry hosts among which limits are divided while no pacer has told it; today's number of hosts of one owner. */
     val assumedEntryHosts: Int = 9,
     /** A request with less time left is not sent; a round trip and the shortest work take as long. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -22,6 +22,9 @@
                 for ((id, server) in parts.servers) server.requestLimit?.let { put(id, it.requestsPerSecond) }
             }
 
+    /** Whether [server] has said in an answer to this host that it leaves. */
+    public fun isLeaving(server: BackendServer): Boolean = parts.leavingServers[server.id]?.isSameRun(server) ?: false
+
     /** Slowdown of streams for each service, compared with idle engines; waits included. */
     public val slowdown: Map<String, Double> get() = parts.pace.mapValues { it.value.slowdown }
 
@@ -38,6 +41,8 @@
     /** Requests that arrived before the first configuration, in the order of arrival. */
     val earlyRequests: PersistentList<EarlyRequest> = persistentListOf(),
     val servers: PersistentMap<String, ServerState> = persistentHashMapOf(),
+    /** Servers that have said in answers to this host that they leave, by id. */
+    val leavingServers: PersistentMap<String, LeavingServer> = persistentHashMapOf(),
     val isStoreReachable: Boolean = false,
     val storeChangedAtMillis: Long = 0,
     val requests: PersistentMap<RequestKey, PendingRequest> = persistentHashMapOf(),
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -18,15 +18,18 @@
 import lavendertrail.serving.AnswerStarted
 import lavendertrail.serving.AttemptEnded
 import lavendertrail.serving.AttemptOutcome
+import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CancelAttempt
 import lavendertrail.serving.CloseServerConnections
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
 import lavendertrail.serving.Reject
+import lavendertrail.serving.ReportLeavingServer
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
 import lavendertrail.serving.ReserveTokens
 import lavendertrail.serving.SendToServer
+import lavendertrail.serving.ServerLeavingSeen
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
@@ -48,6 +51,7 @@
     private val log: StructuredLog,
     private val metrics: GatewayMetrics,
     private val submit: (ServingEvent) -> Unit,
+    private val isLeaving: (BackendServer) -> Boolean,
     private val onFinished: (Exchange) -> Unit,
 ) {
     fun execute(effect: ServingEffect) {
@@ -62,10 +66,20 @@
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
             is RequestPermit -> turnEffects.requestPermit(effect)
             is ReportRequestLimit -> turnEffects.reportRequestLimit(effect)
+            is ReportLeavingServer -> reportLeavingServer(effect)
             is CloseServerConnections -> pool.closeIdleConnections(effect.id)
         }
     }
 
+    private fun reportLeavingServer(effect: ReportLeavingServer) {
+        if (effect.isFirst) metrics.recordLeavingServer()
+        log.event(if (effect.isFirst) "server leaves" else "entry of leaving server followed") {
+            put("server", effect.serverId)
+            effect.key?.let { key -> put("request", exchanges[key]?.request?.attemptId) }
+            put("entryLagMillis", effect.entryLagMillis)
+        }
+    }
+
     /** Releases the exchange of a caller that has closed the connection. */
     fun onCallerDisconnected(exchange: Exchange) {
         log.event("caller left") {
@@ -86,7 +100,14 @@
         exchange.lastServer = effect.server
         pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
-                if (attempt.isCancelled) connection.abandon() else writeRequest(exchange, attempt, connection)
+                when {
+                    attempt.isCancelled -> connection.abandon()
+                    isLeaving(effect.server) -> {
+                        connection.abandon()
+                        endAttempt(exchange, attempt, AttemptOutcome.UNREACHABLE, "the server has said that it leaves")
+                    }
+                    else -> writeRequest(exchange, attempt, connection)
+                }
             }, { error ->
                 log.warn("server connection failed", error)
                 if (!attempt.isCancelled) endAttempt(exchange, attempt, AttemptOutcome.UNREACHABLE, error.toString())
@@ -151,6 +172,11 @@
         }
         connection.keepAliveMillis = responseHead.keepAliveMillis
         if (responseHead.isNotRun || responseHead.isWrongServer) connection.recordRefusal()
+        // Another server's answer says nothing about the expected one.
+        if (responseHead.isLeaving && !responseHead.isWrongServer) {
+            connection.closeAfterResponse()
+            submit(ServerLeavingSeen(exchange.key, attempt.effect.server))
+        }
         attempt.response = head
         attempt.responseHead = responseHead
         // Only a head that a backend server marked says something about the server's load and limit.
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -75,7 +75,19 @@
     private val pool = ServerPool(ServerConnector(loop, settings.serverConnectMillis), ::nowMillis)
     private val turnEffects = TurnEffects(settings, loop, turnClient, exchanges, log, metrics, ::submit)
     private val effectRunner =
-        EffectRunner(protocol, loop, pool, turnClient, turnEffects, exchanges, log, metrics, ::submit, ::removeExchange)
+        EffectRunner(
+            protocol,
+            loop,
+            pool,
+            turnClient,
+            turnEffects,
+            exchanges,
+            log,
+            metrics,
+            ::submit,
+            { state.isLeaving(it) },
+            ::removeExchange,
+        )
     private val callerContext =
         CallerConnectionContext(
             nowMillis = ::nowMillis,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -18,6 +18,7 @@
         AttemptOutcome.entries.associateWith { registry.counter("lavendertrail_attempts", "outcome", it.name.lowercase()) }
     private val permits: Map<PermitOutcome, Counter> =
         PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
+    private val leavingServers: Counter = registry.counter("lavendertrail_leaving_servers")
     private val responses: Timer =
         Timer.builder("lavendertrail_answer").serviceLevelObjectives(*LATENCY_BUCKETS).register(registry)
     private val lookups: Timer =
@@ -29,6 +30,9 @@
 
     public fun recordAttempt(outcome: AttemptOutcome): Unit = attempts.getValue(outcome).increment()
 
+    /** Records a server that has said for the first time that it leaves. */
+    public fun recordLeavingServer(): Unit = leavingServers.increment()
+
     /** Records the reply to a permit request; null if no turn host replied. */
     public fun recordPermit(decision: PermitDecision?) {
         val outcome =
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerConnection.kt
@@ -75,6 +75,11 @@
         if (refusedAttemptIds.size >= MAX_REFUSALS) closesAfterResponse = true
     }
 
+    /** Closes the connection once the response has ended. */
+    fun closeAfterResponse() {
+        closesAfterResponse = true
+    }
+
     /** Closes the connection without notifying the listener; the server sees the connection close. */
     fun abandon() {
         listener = null
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ServerResponseHead.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ServerResponseHead.kt
@@ -11,6 +11,8 @@
     val isNotRun: Boolean,
     /** Whether a server other than the expected one responded at the address. */
     val isWrongServer: Boolean,
+    /** Whether the server states that it leaves. */
+    val isLeaving: Boolean = false,
     val load: ReportedLoad?,
     /** How many requests a second the server accepts from all entry hosts together; null if it states no limit. */
     val requestsPerSecondLimit: Double? = null,
--- a/gateway/src/test/kotlin/lavendertrail/gateway/ScriptedServer.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/ScriptedServer.kt
@@ -38,13 +38,26 @@
             val (head, body) = connection.getInputStream().readMessage() ?: return
             requests += head to body
             val text = respond(head, body) ?: return
-            connection.getOutputStream().write(text.removeSuffix(CLOSE_MARKER).removeSuffix(ENDLESS_MARKER).toByteArray())
+            val bytes =
+                text
+                    .removeSuffix(CLOSE_MARKER)
+                    .removeSuffix(ENDLESS_MARKER)
+                    .removeSuffix(RESET_MARKER)
+                    .toByteArray()
+            connection.getOutputStream().write(bytes)
             connection.getOutputStream().flush()
+            if (text.endsWith(RESET_MARKER)) return reset(connection)
             if (text.endsWith(ENDLESS_MARKER)) return writeUntilClosed(connection)
             if (text.endsWith(CLOSE_MARKER)) return
         }
     }
 
+    /** Closes the connection with a reset, after the bytes written so far have been read. */
+    private fun reset(connection: Socket) {
+        Thread.sleep(RESET_DELAY_MILLIS)
+        connection.setSoLinger(true, 0)
+    }
+
     private fun writeUntilClosed(connection: Socket) {
         val filler = ByteArray(FILLER_BYTES) { 'x'.code.toByte() }
         try {
@@ -62,6 +75,7 @@
 
     private companion object {
         const val FILLER_BYTES = 8_192
+        const val RESET_DELAY_MILLIS = 200L
     }
 }
 
@@ -99,3 +113,6 @@
 
 /** Suffix of a scripted response after which the server closes the connection. */
 internal const val CLOSE_MARKER = "\u0000"
+
+/** Suffix of a scripted response after which the server resets the connection. */
+internal const val RESET_MARKER = "\u0002"
--- a/gateway/src/test/kotlin/lavendertrail/turns/OldTurnHostListTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/OldTurnHostListTest.kt
@@ -92,13 +92,15 @@
     fun `reservations through old and new lists together don't exceed the budget`() {
         withGrownList { fixture, refused ->
             val overspent =
-                (1..PROGRAMS).map { "p$it" }.associateWith { program ->
-                    (1..ROUNDS).sumOf { round ->
-                        val viaNew = fixture.reserve("n$round", 10, BUDGET, program = program)
-                        val viaOld = fixture.reserve("o$round", 10, BUDGET, refused.client, refused.group, program)
-                        10 * listOf(viaNew, viaOld).count { it == ReservationResult.RESERVED }
-                    }
-                }.filterValues { it != BUDGET }
+                (1..PROGRAMS)
+                    .map { "p$it" }
+                    .associateWith { program ->
+                        (1..ROUNDS).sumOf { round ->
+                            val viaNew = fixture.reserve("n$round", 10, BUDGET, program = program)
+                            val viaOld = fixture.reserve("o$round", 10, BUDGET, refused.client, refused.group, program)
+                            10 * listOf(viaNew, viaOld).count { it == ReservationResult.RESERVED }
+                        }
+                    }.filterValues { it != BUDGET }
             assertEquals(emptyMap(), overspent)
         }
     }
--- a/gateway/src/test/kotlin/lavendertrail/turns/UseExpiryTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/UseExpiryTest.kt
@@ -28,6 +28,9 @@
         val settled = reserved.copy(tokens = 8, isSettled = true, expiresAtEpochMillis = 6_000)
         assertEquals(settled, mergeUses(reserved, settled))
         assertEquals(settled.copy(expiresAtEpochMillis = 9_000), mergeUses(settled, reserved.copy(expiresAtEpochMillis = 9_000)))
-        assertEquals(reserved.copy(expiresAtEpochMillis = 9_000), mergeUses(reserved, reserved.copy(expiresAtEpochMillis = 9_000, serverId = null)))
+        assertEquals(
+            reserved.copy(expiresAtEpochMillis = 9_000),
+            mergeUses(reserved, reserved.copy(expiresAtEpochMillis = 9_000, serverId = null)),
+        )
     }
 }
