Remove lost turn hosts beside members with a new disk

Cause: found while reading the rule that a list changes only once all live members have settled it. A member with a new disk did not settle lists before it had copied all other members, one of them lost for good, and the lost one could not be removed before the list was settled: budgets got no quorum.

Change: a host settles a list with the records that it has, whether its disk is complete or not. To forget a departed host, its members must have settled a later list with the disk that they had then. A member that refuses copies, such as one with a full disk, is left out for the next attempt. An exception while the list is read for a lookup no longer stops all later reads.

Evidence: "a host that is lost for good is removed although another one has lost its disk" in ReplacedTurnHostTest passes, as do TurnHostsTest, OldTurnHostListTest, LivenessTest and TurnRelayTest. The test was not run on the code before the change.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -67,7 +67,7 @@
             loop = group,
             ownFailureDomain = settings.failureDomain,
             cacheBytes = settings.turnCacheBytes,
-            readCurrentHosts = { onResult -> turnHostReader.execute { onResult(readTurnHosts()) } },
+            readCurrentHosts = { onResult -> turnHostReader.execute { onResult(readTurnHostsSafely()) } },
             onHostsLearnt = ::logLearntHosts,
             onLimitsLearnt = { submit(RequestLimitsLearnt(it)) },
             onCallFailure = { log.warn("turn host call failed", it) },
@@ -138,6 +138,15 @@
         step.effects.forEach(::execute)
     }
 
+    /** Each read must have a result, since the next one waits for it. */
+    private fun readTurnHostsSafely(): CurrentTurnHosts? =
+        try {
+            readTurnHosts()
+        } catch (e: RuntimeException) {
+            log.error("turn host list unreadable", e)
+            null
+        }
+
     private fun logLearntHosts(hosts: TurnHosts) {
         log.event("turn hosts learnt") {
             put("hosts", hosts.hosts.joinToString(",") { it.name })
--- a/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
@@ -30,6 +30,13 @@
     var settledRevision = 0L
         private set
 
+    /** The revision of the first list that this disk knew; 0 before that. Records of earlier lists may have been lost with another disk. */
+    @Volatile
+    var firstRevision = 0L
+        private set
+
+    val state: ListStateReply get() = ListStateReply(listing.revision, settledRevision, firstRevision)
+
     val isSettled: Boolean get() = settledRevision == listing.revision
 
     /** Reads the list that an earlier run saved; an unreadable file counts as none, since the list is also in the platform's store. */
@@ -45,6 +52,7 @@
         val hosts = TurnHostDirectory.decode(saved.hosts) ?: return
         listing = TurnHostListing(hosts, saved.revision)
         settledRevision = saved.settledRevision
+        firstRevision = saved.firstRevision
     }
 
     /** Replaces the list by [newer]; false if [newer] is not newer. The caller saves it before it relies on it after a restart. */
@@ -52,6 +60,7 @@
     fun adopt(newer: TurnHostListing): Boolean {
         if (newer.revision <= listing.revision) return false
         listing = newer
+        if (firstRevision == 0L) firstRevision = newer.revision
         return true
     }
 
@@ -68,7 +77,7 @@
     @Throws(IOException::class)
     fun save() {
         Files.createDirectories(folder)
-        val saved = SavedList(listing.revision, settledRevision, TurnHostDirectory.encode(listing.hosts))
+        val saved = SavedList(listing.revision, settledRevision, firstRevision, TurnHostDirectory.encode(listing.hosts))
         val bytes = ByteBuffer.wrap(json.encodeToString(SavedList.serializer(), saved).toByteArray())
         val newFile = folder.resolve("$FILE_NAME.new")
         FileChannel.open(newFile, CREATE, WRITE, TRUNCATE_EXISTING).use { channel ->
@@ -84,6 +93,7 @@
     private data class SavedList(
         val revision: Long,
         val settledRevision: Long,
+        val firstRevision: Long,
         val hosts: String,
     )
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/ListChanges.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/ListChanges.kt
@@ -31,7 +31,7 @@
         listing: TurnHostListing,
         liveNames: Set<String>,
     ): Boolean {
-        val settled = settledMembers(listing, listing.revision)
+        val settled = memberStates(listing).filterValues { it.settledRevision >= listing.revision }.keys
         val unsettledLive = listing.hosts.map { it.name }.filter { it in liveNames && it !in settled }
         val isAllowed = unsettledLive.isEmpty() && settled.size > listing.hosts.size / 2
         if (!isAllowed) {
@@ -44,18 +44,29 @@
         return isAllowed
     }
 
-    /** The names of the members of [listing] that have settled it or a later list than that of [revision]. */
-    fun settledMembers(
+    /**
+     * Whether the members of [listing] have replaced all copies that left with [host]: each member of that time must have settled a
+     * later list, with a disk that is older than the list that [host] left.
+     */
+    fun areCopiesReplaced(
         listing: TurnHostListing,
-        revision: Long,
-    ): Set<String> {
+        host: DepartedHost,
+    ): Boolean {
+        val states = memberStates(listing)
+        return host.pending.all { name ->
+            val state = states[name]
+            state != null && state.settledRevision > host.listRevision && state.firstRevision < host.listRevision
+        }
+    }
+
+    /** What the members of [listing] know, by name, without those that don't reply. */
+    private fun memberStates(listing: TurnHostListing): Map<String, ListStateReply> {
         val peers = listing.hosts.filter { it.name != ownHost.name }.associateWith { TurnPeer(it.address, group) }
         try {
             val replies = peers.mapValues { (_, peer) -> startCall(peer, listing) }
-            val settledOthers =
-                replies.filter { (host, reply) -> (await(host, reply).get()?.settledRevision ?: 0) >= revision }.keys.map { it.name }
-            val isSettledHere = ownHost in listing.hosts && knownHosts.settledRevision >= revision
-            return settledOthers.toSet() + listOfNotNull(ownHost.name.takeIf { isSettledHere })
+            val others = replies.mapNotNull { (host, reply) -> await(host, reply).get()?.let { host.name to it } }
+            val own = listOfNotNull((ownHost.name to knownHosts.state).takeIf { ownHost in listing.hosts })
+            return (others + own).toMap()
         } finally {
             loop.execute { peers.values.forEach { it.close() } }
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
@@ -88,8 +88,8 @@
         val now = System.currentTimeMillis()
         val remaining =
             departed.hosts.filter { host ->
-                val settled = listChanges?.settledMembers(listing, host.listRevision + 1).orEmpty()
-                !settled.containsAll(host.pending) && now - host.removedAtEpochMillis < DEPARTED_RETENTION_MILLIS
+                val isReplaced = listChanges?.areCopiesReplaced(listing, host) ?: false
+                !isReplaced && now - host.removedAtEpochMillis < DEPARTED_RETENTION_MILLIS
             }
         if (remaining.size == departed.hosts.size) return
         directory.writeDeparted(remaining, departed.revision).fold({ isWritten ->
--- a/gateway/src/main/kotlin/lavendertrail/turns/RecordRepair.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/RecordRepair.kt
@@ -32,6 +32,9 @@
     private var repairedRevision = 0L
     private var startedMillis = 0L
 
+    /** Members that didn't store what was sent to them, such as those with a full disk; others get the copies. */
+    private val refusingHosts = mutableSetOf<TurnHost>()
+
     /**
      * Repairs the copies among the members of [listing], to which this host belongs; false if some records still have too few, in
      * which case it is called again.
@@ -40,6 +43,7 @@
         if (repairedRevision != listing.revision) {
             repairedRevision = listing.revision
             startedMillis = nowMillis()
+            refusingHosts.clear()
         }
         val waitsForMembers = nowMillis() - startedMillis < WAIT_FOR_MEMBERS_MILLIS
         return run(TurnHosts(listing.hosts, tolerance), isLeaving = false, waitsForMembers)
@@ -60,13 +64,14 @@
             var sentCount = 0
             var isRepaired = true
             for (records in onLoop { repository.currentRecords() }.chunked(MAX_KEYS_PER_CALL)) {
-                val missing = findMissing(peers, records)
+                val missing = findMissing(peers - refusingHosts, records)
                 val plan = RepairPlan(ownHost.takeUnless { isLeaving }, hosts, missing)
                 if (waitsForMembers && missing.size < others.size && plan.needsUnknown(records)) return false
                 val copies = plan.copiesToSend(records)
                 for ((target, indices) in copies) {
                     val isSent = send(peers.getValue(target), indices.map { records[it] })
-                    if (isSent) sentCount += indices.size else isRepaired = false
+                    if (isSent) sentCount += indices.size else refusingHosts += target
+                    isRepaired = isRepaired && isSent
                 }
                 if (!plan.isSufficient(records)) isRepaired = false
             }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -190,11 +190,15 @@
     @ByteString val list: ByteArray,
 )
 
-/** The revision of the newest list that the host knows, and of the newest one for which all its records have enough copies. */
+/**
+ * The revisions of the newest list that the host knows, of the newest one for which all its records have enough copies, and of the
+ * first one that its disk knew.
+ */
 @Serializable
 internal data class ListStateReply(
     val revision: Long,
     val settledRevision: Long,
+    val firstRevision: Long,
 )
 
 /** Announces the address at which an entry host relays calls, and requests those of other entry hosts. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -79,7 +79,7 @@
     /** Adopts the list that another turn host announces, and tells it what this host knows. */
     private fun exchangeListState(request: ListStateRequest): ListStateReply {
         decodeListing(request.list)?.let(::adopt)
-        return ListStateReply(knownHosts.listing.revision, knownHosts.settledRevision)
+        return knownHosts.state
     }
 
     /** Restores the number of copies of all records after each change of the list of hosts. */
@@ -97,7 +97,7 @@
 
     private fun settleList() {
         val listing = knownHosts.listing
-        if (knownHosts.isSettled || !repository.isComplete || ownHost !in listing.hosts) return
+        if (knownHosts.isSettled || ownHost !in listing.hosts) return
         knownHosts.save()
         if (repair.repair(listing)) knownHosts.settle(listing.revision)
     }
--- a/gateway/src/test/kotlin/lavendertrail/turns/ReplacedTurnHostTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/ReplacedTurnHostTest.kt
@@ -57,6 +57,17 @@
         }
     }
 
+    @Test
+    fun `a host that is lost for good is removed although another one has lost its disk`() {
+        fixture().use { fixture ->
+            fixture.killAndDiscardDisk("a1")
+            fixture.killAndDiscardDisk("b1")
+            fixture.start("b1")
+            fixture.awaitHosts("a2", "b1", "c1")
+            TurnHostsFixture.awaitCondition("room for a reservation") { fixture.reserve("r1", 10, 100) == ReservationResult.RESERVED }
+        }
+    }
+
     @Test
     fun `a program's use survives hosts that are replaced one after another`() {
         fixture().use { fixture ->
