Skip the check of a settled list only for a host's very first join

Cause: found while reading the diff. A host of the first start that was removed later and joined again in the same process skipped the check, and one that lost the first compare-and-swap was treated as a later join. The removed hosts were looked at once a second for as long as a member couldn't settle, with a new connection to each member.

Change: a join counts as the first one until the host has been listed; the pause between looks at departed hosts doubles up to a minute.

Evidence: by reading; ReplacedTurnHostTest, OldTurnHostListTest, TurnHostsTest and LivenessTest pass.

--- a/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
@@ -30,12 +30,22 @@
     private var leaseId: Long? = null
     private val missingSinceMillis = mutableMapOf<String, Long>()
 
+    /** When the departed hosts are looked at next, and the pause after that. */
+    private var nextForgetMillis = 0L
+    private var forgetPauseMillis = MIN_FORGET_PAUSE_MILLIS
+
     fun renewLeaseAndRemoveDeadHost() {
         val lease = leaseId
         if (lease == null || service.keepAlive(lease).get() == false) register()
         if (!mirror.isCurrent) return missingSinceMillis.clear()
         removeDeadHost()
-        if (directory.hasDeparted && directory.liveNames().minOrNull() == ownHost.name) forgetDepartedHosts()
+        if (!directory.hasDeparted) {
+            forgetPauseMillis = MIN_FORGET_PAUSE_MILLIS
+        } else if (directory.liveNames().minOrNull() == ownHost.name && nowMillis() >= nextForgetMillis) {
+            forgetDepartedHosts()
+            nextForgetMillis = nowMillis() + forgetPauseMillis
+            forgetPauseMillis = (forgetPauseMillis * 2).coerceAtMost(MAX_FORGET_PAUSE_MILLIS)
+        }
     }
 
     private fun register() {
@@ -101,6 +111,10 @@
         /** Many times the retention of turns, after which a copy that was lost doesn't matter any more. */
         const val DEPARTED_RETENTION_MILLIS = 3_600_000L
 
+        /** Members settle a list within a second; one that is lost for long may not settle it at all. */
+        const val MIN_FORGET_PAUSE_MILLIS = 1_000L
+        const val MAX_FORGET_PAUSE_MILLIS = 60_000L
+
         const val LEASE_TTL_MILLIS = 3_000L
 
         /** In addition to the lease TTL; gives hosts time to renew entries that expired while the store was unavailable. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -140,15 +140,17 @@
         val others = listing.hosts.filter { it.name != ownHost.name }
         val isMember = listing.hosts.any { it.name == ownHost.name }
         val needsCopy = !isMember || !repository.isComplete
-        // At the first start of the whole system there is nothing to copy; a host that was removed later has missed records.
-        if (needsCopy && !(settings.isFirstStart && !hasJoined) && !copyRecords(others, isMember)) return
+        // At the first start of the whole system there is nothing to copy, and the hosts join at the same moment; a host that was
+        // removed later has missed records.
+        val isFirstJoin = settings.isFirstStart && !hasJoined
+        if (needsCopy && !isFirstJoin && !copyRecords(others, isMember)) return
         if (!repository.isComplete) runOnLoop { repository.markComplete() }
-        hasJoined = true
+        hasJoined = hasJoined || isMember
         if (ownHost in listing.hosts) return
-        // At the first start of the whole system there are no records yet, and the hosts join at the same moment.
-        isJoinDelayed = !settings.isFirstStart && listing.hosts.isNotEmpty() && !listChanges.isAllowed(listing, directory.liveNames())
+        isJoinDelayed = !isFirstJoin && listing.hosts.isNotEmpty() && !listChanges.isAllowed(listing, directory.liveNames())
         if (isJoinDelayed) return
         directory.write(others + ownHost, listing.revision).fold({ isWritten ->
+            hasJoined = hasJoined || isWritten
             if (isWritten) log.event("joined turn hosts") { put("hosts", (others + ownHost).joinToString(",") { it.name }) }
         }, { log.warn("joining turn hosts failed", it) })
     }
