Move the forwarded bodies and headers out of EffectRunner

Change: ForwardedMessages.kt holds the body of a request with its earlier turns, the record of a finished turn and the end-to-end headers. Result: no change of behaviour; GatewayTest and LeavingServerTest pass.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpVersion
@@ -35,10 +34,8 @@
 import lavendertrail.serving.SettleTokens
 import lavendertrail.serving.streamOrigin
 import lavendertrail.turns.TurnClient
-import lavendertrail.turns.TurnRecord
 import lavendertrail.turns.storeTurn
 import lavendertrail.turns.turnExpiry
-import java.io.ByteArrayOutputStream
 
 /** Executes the effects of the serving reducer and submits their results as events. */
 internal class EffectRunner(
@@ -384,37 +381,3 @@
         const val STORE_TIMEOUT_MILLIS = 1_500L
     }
 }
-
-/** The body of the request to the server: input and output of each earlier turn in order, then the new input. */
-private fun Exchange.requestBody(): ByteArray {
-    if (history.isEmpty()) return body
-    val text = ByteArrayOutputStream(history.sumOf { it.sizeBytes } + body.size)
-    for (turn in history) {
-        text.write(turn.input)
-        text.write(turn.output)
-    }
-    text.write(body)
-    return text.toByteArray()
-}
-
-private fun Exchange.toTurnRecord(expiresAtEpochMillis: Long) =
-    TurnRecord(
-        id = request.attemptId,
-        programId = request.programId.orEmpty(),
-        previousId = request.previousTurnId,
-        input = body,
-        output = output.toByteArray(),
-        expiresAtEpochMillis = expiresAtEpochMillis,
-    )
-
-/** Copies the headers of a server's response without the hop-by-hop headers. */
-private fun endToEndHeaders(headers: HttpHeaders): HttpHeaders {
-    val copy = headers.copy()
-    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.forEach { copy.remove(it.trim()) }
-    HOP_BY_HOP_HEADERS.forEach { copy.remove(it) }
-    return copy
-}
-
-/** Headers that are not forwarded (RFC 9110, section 7.6.1), and `Content-Length`, which is recomputed. */
-public val HOP_BY_HOP_HEADERS: List<String> =
-    listOf("connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "content-length")
--- /dev/null
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ForwardedMessages.kt
@@ -0,0 +1,44 @@
+package lavendertrail.gateway
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import lavendertrail.turns.TurnRecord
+import java.io.ByteArrayOutputStream
+
+/*
+ * What is forwarded between callers and servers: bodies with the earlier turns, finished turns, and end-to-end headers.
+ */
+
+/** The body of the request to the server: input and output of each earlier turn in order, then the new input. */
+internal fun Exchange.requestBody(): ByteArray {
+    if (history.isEmpty()) return body
+    val text = ByteArrayOutputStream(history.sumOf { it.sizeBytes } + body.size)
+    for (turn in history) {
+        text.write(turn.input)
+        text.write(turn.output)
+    }
+    text.write(body)
+    return text.toByteArray()
+}
+
+internal fun Exchange.toTurnRecord(expiresAtEpochMillis: Long) =
+    TurnRecord(
+        id = request.attemptId,
+        programId = request.programId.orEmpty(),
+        previousId = request.previousTurnId,
+        input = body,
+        output = output.toByteArray(),
+        expiresAtEpochMillis = expiresAtEpochMillis,
+    )
+
+/** Copies the headers of a server's response without the hop-by-hop headers. */
+internal fun endToEndHeaders(headers: HttpHeaders): HttpHeaders {
+    val copy = headers.copy()
+    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.forEach { copy.remove(it.trim()) }
+    HOP_BY_HOP_HEADERS.forEach { copy.remove(it) }
+    return copy
+}
+
+/** Headers that are not forwarded (RFC 9110, section 7.6.1), and `Content-Length`, which is recomputed. */
+public val HOP_BY_HOP_HEADERS: List<String> =
+    listOf("connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "content-length")
