Reject responses whose head was cut off by the end of the connection

Cause: the Apache client's parser takes the end of the connection for the end of the head, so that the response loses its length and its chunks.

--- a/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
+++ b/ports/src/main/kotlin/lavendertrail/http/HttpClient.kt
@@ -7,6 +7,8 @@
 import org.apache.hc.client5.http.config.RequestConfig
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient
 import org.apache.hc.client5.http.impl.classic.HttpClients
+import org.apache.hc.client5.http.impl.io.DefaultHttpResponseParserFactory
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder
 import org.apache.hc.client5.http.protocol.HttpClientContext
 import org.apache.hc.core5.http.ClassicHttpResponse
@@ -50,7 +52,7 @@
 /**
  * An http4k client whose response bodies are streams; each must be closed. Closing a body before its end closes the
  * connection immediately, even while another thread reads from it. A request is never sent twice; a request without a
- * response throws an [HttpCallException]. The client library is used in this file only.
+ * response throws an [HttpCallException]. The client library is used here and in WholeHeadParser.kt only.
  */
 public fun httpClient(limits: HttpClientLimits = HttpClientLimits()): HttpHandler {
     val client = apacheClient(limits)
@@ -68,7 +70,12 @@
     val connections =
         PoolingHttpClientConnectionManagerBuilder
             .create()
-            .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+            .setConnectionFactory(
+                ManagedHttpClientConnectionFactory
+                    .builder()
+                    .responseParserFactory(wholeHeadParsers(DefaultHttpResponseParserFactory.INSTANCE))
+                    .build(),
+            ).setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setMaxConnTotal(limits.maxConnections)
             .setMaxConnPerRoute(limits.maxConnections)
             .setDefaultSocketConfig(
