Stop trying a request again that has crashed six servers in a row

Cause: each trial doubled the isolation up to ten minutes, without a last one, and the evidence was forgotten after 15 minutes. A trial that no server ran doubled it too. Both pass with the change, and PoisonSimulationTest does. A request that lost its connections by chance is served with its first trial, as before.

--- a/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
@@ -37,13 +37,17 @@
         return latest.key == attemptId && countedLosses.none { it.endedAtMillis > latest.value }
     }
 
-    /** Until when requests with the fingerprint are refused; null if too few crashes are counted. Each trial doubles the time. */
+    /**
+     * Until when requests with the fingerprint are refused; null if too few crashes are counted. Each trial that crashed a server
+     * prolongs the time; one that no server ran doesn't.
+     */
     fun isolatedUntilMillis(settings: ServingSettings): Long? {
-        if (countedLosses.size < settings.crashesBeforeIsolation) return null
-        val trials = trialsSinceCompletion.values
-        val doubledMillis = settings.crashIsolationMillis shl trials.size.coerceAtMost(MAX_DOUBLINGS)
-        val sinceMillis = maxOf(countedLosses.last().endedAtMillis, trials.maxOrNull() ?: Long.MIN_VALUE)
-        return sinceMillis + doubledMillis.coerceAtMost(settings.crashIsolationMaxMillis)
+        val failedTrials = countedLosses.size - settings.crashesBeforeIsolation
+        if (failedTrials < 0) return null
+        val lastLossMillis = countedLosses.last().endedAtMillis
+        val pendingTrialMillis = trialsSinceCompletion.values.filter { it > lastLossMillis }.maxOrNull()
+        if (pendingTrialMillis != null) return pendingTrialMillis + settings.pendingCrashTrialMillis
+        return lastLossMillis + settings.crashTrialDelaysMillis.getOrElse(failedTrials) { settings.crashRecordRetentionMillis }
     }
 
     fun withLoss(
@@ -70,7 +74,6 @@
         if (size <= MAX_ENTRIES) this else remove(entries.minBy { atMillis(it.value) }.key)
 
     private companion object {
-        const val MAX_DOUBLINGS = 10
         const val MAX_ENTRIES = 16
     }
 }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -62,11 +62,15 @@
     val leavingServerRetentionMillis: Long = 3_600_000,
     /** Crashes after which a request is isolated. With one less, it is sent to one server at a time. */
     val crashesBeforeIsolation: Int = 3,
-    /** How long a request that crashes servers is refused before it is tried once more; doubled with each trial. */
-    val crashIsolationMillis: Long = 20_000,
-    val crashIsolationMaxMillis: Long = 600_000,
-    /** How long evidence of crashes is kept without news; longer than the longest isolation. */
-    val crashRecordRetentionMillis: Long = 900_000,
+    /**
+     * How long a request that crashes servers is refused before each trial whether it still does. Each trial may cost another server,
+     * so that after the last one the request is refused for as long as the evidence is kept.
+     */
+    val crashTrialDelaysMillis: List<Long> = listOf(20_000, 40_000, 3_600_000),
+    /** How long a request is refused after a trial whose outcome isn't known; longer than the deadline of a request. */
+    val pendingCrashTrialMillis: Long = 40_000,
+    /** How long evidence of crashes is kept without news. */
+    val crashRecordRetentionMillis: Long = 86_400_000,
     /** Fingerprints with evidence of crashes that are remembered. */
     val maxCrashRecords: Int = 1_000,
     /** Time in which a server that closed a connection may answer another request, and so turn out not to have crashed. */
--- a/core/src/test/kotlin/lavendertrail/serving/CrashFlowTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/CrashFlowTest.kt
@@ -157,7 +157,7 @@
     }
 
     @Test
-    fun `an isolated request is tried once after the isolation, which doubles if it crashes again`() {
+    fun `an isolated request is tried once after the isolation, which is longer if it crashes again`() {
         repeat(3) { crash() }
         bench.nowMillis += 19_000
         val trial = arrive()
@@ -187,6 +187,38 @@
         assertIs<SendToServer>(bench.effects.single())
     }
 
+    @Test
+    fun `a request that goes on crashing servers is tried three times in a day`() {
+        repeat(3) { crash() }
+        val firstCrashesMillis = bench.nowMillis
+        val trialsMillis = mutableListOf<Long>()
+        while (bench.nowMillis < firstCrashesMillis + 86_000_000) {
+            val key = arrive()
+            if (bench.effects.any { it is SendToServer }) {
+                trialsMillis += bench.nowMillis - firstCrashesMillis
+                bench.nowMillis += 20
+                end(key, AttemptOutcome.BROKEN)
+            }
+            bench.nowMillis += 5_000
+            bench.apply(ClockTicked)
+        }
+        assertEquals(listOf(20L, 60L, 3_660L), trialsMillis.map { it / 5_000 * 5 })
+    }
+
+    @Test
+    fun `a trial that no server ran is repeated, and costs none of the trials`() {
+        repeat(3) { crash() }
+        bench.nowMillis += 19_000
+        bench.apply(ClockTicked)
+        repeat(4) {
+            val trial = arrive()
+            assertIs<SendToServer>(bench.effects.last())
+            repeat(4) { end(trial, AttemptOutcome.NOT_RUN) }
+            assertIsolated(waitMillis = 40_000)
+            bench.nowMillis += 40_000
+        }
+    }
+
     @Test
     fun `a request that may be repeated is not sent to a fourth server`() {
         repeat(3) { crash() }
@@ -201,7 +233,7 @@
         val evidence = List(3_000) { CrashEvidence(CrashEvidenceKind.CONNECTION_LOST, "f$it", "r$it", "s", 20, 0) }
         bench.apply(CrashEvidenceLearnt(evidence))
         assertEquals(1_000, bench.state.parts.crashes.size)
-        bench.nowMillis += 900_000
+        bench.nowMillis += 86_400_000
         bench.apply(CrashEvidenceLearnt(evidence.take(1)))
         assertEquals(1, bench.state.parts.crashes.size)
     }
