Ask turn hosts for reports of crashing requests before taking requests

Cause: the exchange with the turn hosts ran on a timer of 5 s, also the first time, and neither readiness nor the handling of requests waited for it. After a lost connection, messages that the turn host had sent meanwhile were missed until the next exchange. Evidence: CrashingRequestTest "an entry host refuses a request that has crashed three servers from its start on" failed before (502 for 503), and passes now with the other test of the class. It is ready once all turn hosts that respond have told it, and requests in the first second wait for it like those that wait for the configuration.

--- a/core/src/main/kotlin/lavendertrail/serving/EarlyRequests.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/EarlyRequests.kt
@@ -3,12 +3,12 @@
 /*
  * Requests for which this process has no configuration, or maybe not the newest one.
  *
- * Holds requests that arrive after the start of the process and before it has read its configuration. After a simultaneous restart
- * of all entry hosts every caller reaches such a process. The configuration is read within a few tenths of a second, well before
- * a rejected caller would retry.
+ * Holds requests that arrive after the start of the process and before it has read its configuration and what other entry hosts
+ * have reported about requests that crash servers. After a simultaneous restart of all entry hosts every caller reaches such a
+ * process. Both are read within a few tenths of a second, well before a rejected caller would retry.
  */
 
-/** A request that waits for the first configuration. */
+/** A request that waits for the first configuration or for the reports of other entry hosts. */
 internal data class EarlyRequest(
     val key: RequestKey,
     val request: CallerRequest,
@@ -22,6 +22,14 @@
 /** Whether the process started so recently that its first configuration and servers are probably still being read. */
 private fun ServingWork.isStarting(): Boolean = nowMillis - (parts.startedAtMillis ?: nowMillis) < settings.startupWaitMillis
 
+/** Whether requests must wait, since this process may not have heard yet which of them crash servers. */
+internal fun ServingWork.awaitsCrashReports(): Boolean = !parts.areCrashReportsKnown && isStarting()
+
+internal fun ServingWork.recordCrashReportsKnown(areKnown: Boolean) {
+    parts = parts.copy(areCrashReportsKnown = areKnown)
+    releaseEarlyRequests()
+}
+
 internal fun ServingWork.holdEarlyRequest(
     key: RequestKey,
     request: CallerRequest,
@@ -34,7 +42,7 @@
 internal fun ServingWork.releaseEarlyRequests() {
     val waiting = parts.earlyRequests
     if (waiting.isEmpty()) return
-    val canServe = parts.config != null && parts.servers.isNotEmpty()
+    val canServe = parts.config != null && parts.servers.isNotEmpty() && !awaitsCrashReports()
     if (!canServe && isStarting()) return
     parts = parts.copy(earlyRequests = waiting.clear())
     for (early in waiting) if (canServe) admitRequest(early.key, early.request, early.arrivedMillis) else rejectNotReady(early.key)
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -19,7 +19,7 @@
     arrivedMillis: Long,
 ) {
     val config = parts.config
-    if (config == null) return holdEarlyRequest(key, request)
+    if (config == null || awaitsCrashReports()) return holdEarlyRequest(key, request)
     val route = config.route(request.host, request.path) ?: return rejectWithoutRoute(key, config)
     val service = route.serviceFor(request)?.let { config.services[it] } ?: return rejectWithoutService(key, route)
     val timeoutMillis = minOf(route.timeoutMillis, request.deadlineMillis ?: route.timeoutMillis)
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -110,6 +110,14 @@
     val evidence: List<CrashEvidence>,
 ) : ServingEvent
 
+/**
+ * Whether the turn hosts have been asked what other entry hosts have reported about requests that may crash servers. Requests that
+ * arrive soon after the start of the process wait for it.
+ */
+public data class CrashReportsKnown(
+    val areKnown: Boolean,
+) : ServingEvent
+
 /** The process stood still, or its clock doesn't show for how long; permissions with a time limit may have run out. */
 public data object ProcessPaused : ServingEvent
 
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -35,6 +35,7 @@
         is PermitDecided -> work.handlePermitDecided(event)
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
+        is CrashReportsKnown -> work.recordCrashReportsKnown(event.areKnown)
         ProcessPaused -> work.dropPermits()
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         is StopAnnounced -> work.announceStop(event)
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -67,6 +67,8 @@
     /** Until when requests must be answered; null unless the process is about to stop. */
     val stopsAtMillis: Long? = null,
     val crashes: CrashRegister = CrashRegister(),
+    /** Whether this process has asked the turn hosts for the reports of other entry hosts; true while it knows no turn hosts. */
+    val areCrashReportsKnown: Boolean = true,
     val startedPrograms: RecentPrograms = RecentPrograms(settings.maxRememberedPrograms),
 )
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -16,6 +16,7 @@
 import lavendertrail.serving.CallerLimits
 import lavendertrail.serving.ClockTicked
 import lavendertrail.serving.CrashEvidenceLearnt
+import lavendertrail.serving.CrashReportsKnown
 import lavendertrail.serving.ProcessPaused
 import lavendertrail.serving.Reject
 import lavendertrail.serving.RejectReason
@@ -59,6 +60,9 @@
     private var listenChannel: Channel? = null
     private var isDraining = false
     private var isRelayStarted = false
+
+    /** Whether the turn hosts that respond have told what was reported before this process started. */
+    private var hasHeardReports = false
     private var wereTurnHostsReachable = false
     private var wereTurnCallsRelayed = false
     private var drainStartedAtMillis = 0L
@@ -106,8 +110,12 @@
             onFailure = ::onCallerFailure,
         )
 
-    /** Whether the platform may route callers to this process. A process that can't reach the turn hosts can't serve turns. */
-    public val isReady: Boolean get() = !isDraining && state.config != null && state.serverCount > 0 && turnClient.isReachable
+    /**
+     * Whether the platform may route callers to this process. A process that can't reach the turn hosts can't serve turns, and one
+     * that hasn't heard their reports since its start may send on a request that crashes servers.
+     */
+    public val isReady: Boolean
+        get() = !isDraining && state.config != null && state.serverCount > 0 && turnClient.isReachable && hasHeardReports
 
     public fun start() {
         listenChannel =
@@ -162,7 +170,10 @@
     }
 
     public fun updateTurnHosts(hosts: TurnHosts) {
-        loop.execute { turnClient.updateHosts(hosts) }
+        loop.execute {
+            turnClient.updateHosts(hosts)
+            meetTurnHosts()
+        }
     }
 
     /** Returns the state of this process for operators. */
@@ -257,8 +268,20 @@
         }
     }
 
+    private fun meetTurnHosts() {
+        turnClient.meetNewConnections(settings.relayAddress.takeIf { isRelayStarted }, ::updateReportsKnown)
+        updateReportsKnown()
+    }
+
+    private fun updateReportsKnown() {
+        if (hasHeardReports || turnClient.hosts.hosts.isEmpty()) return
+        hasHeardReports = turnClient.areCrashReportsKnown
+        submit(CrashReportsKnown(hasHeardReports))
+    }
+
     private fun probeTurnHosts() {
         turnClient.probeUnresponsive()
+        meetTurnHosts()
         val isRelayed = turnClient.isRelayed
         if (isRelayed != wereTurnCallsRelayed) {
             wereTurnCallsRelayed = isRelayed
--- a/gateway/src/main/kotlin/lavendertrail/turns/EntryHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/EntryHosts.kt
@@ -6,9 +6,9 @@
 ) {
     private val announcedAtMillis = LinkedHashMap<String, Long>()
 
-    /** Records the relay address [address] and returns up to [MAX_OTHERS] others in random order. */
+    /** Records the relay address [address], unless it is empty, and returns up to [MAX_OTHERS] others in random order. */
     fun announce(address: String): List<String> {
-        announcedAtMillis[address] = nowMillis()
+        if (address.isNotEmpty()) announcedAtMillis[address] = nowMillis()
         removeOld()
         return (announcedAtMillis.keys - address).shuffled().take(MAX_OTHERS)
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -43,7 +43,7 @@
     var hosts = TurnHosts()
         private set
     private val peersByHost = mutableMapOf<TurnHost, TurnPeer>()
-    private val metAddresses = mutableSetOf<String>()
+    private val meetings = HostMeetings()
     private val relayedCalls = RelayedCalls(loop, { hosts.revision }, ::adopt)
     internal val cache = TurnCache(cacheBytes)
     internal val currentHosts = CurrentHostsCheck(loop, readCurrentHosts)
@@ -82,18 +82,41 @@
         }
     }
 
+    /** Whether all turn hosts that respond have told what was reported before this process connected to them. */
+    val areCrashReportsKnown: Boolean get() = peersByHost.values.all { meetings.isMet(it) || it.isUnresponsive }
+
     /** Announces this process's relay address to the turn hosts and gets the relay addresses of other entry hosts. */
     fun exchangeRelayAddresses(relayAddress: String) {
-        for (peer in peersByHost.values.filter { !it.isUnresponsive }) {
-            val request = MeetRequest(relayAddress, isFirst = peer.address !in metAddresses)
-            peer.call(TurnMethods.meet, request, PROBE_TIMEOUT_MILLIS) { result ->
-                result.fold({ reply ->
-                    metAddresses += peer.address
-                    relayedCalls.addRelayAddresses(reply.relayAddresses)
-                    if (reply.crashEvidence.isNotEmpty()) onCrashEvidenceLearnt(reply.crashEvidence)
-                }, onCallFailure)
-            }
+        for (peer in peersByHost.values.filter { !it.isUnresponsive }) meet(peer, relayAddress) {}
+    }
+
+    /**
+     * Asks the turn hosts that this process hasn't met since it connected to them what was reported before, since messages that they
+     * sent meanwhile are lost. [relayAddress] is null while nothing listens there. Calls [onMet] after each reply or failure.
+     */
+    fun meetNewConnections(
+        relayAddress: String?,
+        onMet: () -> Unit,
+    ) {
+        val newPeers = peersByHost.values.filter { !it.isUnresponsive && !meetings.isMet(it) && !meetings.isPending(it) }
+        for (peer in newPeers) meet(peer, relayAddress.orEmpty(), onMet)
+    }
+
+    private fun meet(
+        peer: TurnPeer,
+        relayAddress: String,
+        onMet: () -> Unit,
+    ) {
+        val meeting = meetings.begin(peer)
+        peer.call(TurnMethods.meet, MeetRequest(relayAddress, isFirst = !meetings.isMet(peer)), MEET_TIMEOUT_MILLIS) { result ->
+            meetings.end(meeting, isMet = result.isOk)
+            result.fold({ reply ->
+                relayedCalls.addRelayAddresses(reply.relayAddresses)
+                if (reply.crashEvidence.isNotEmpty()) onCrashEvidenceLearnt(reply.crashEvidence)
+            }, onCallFailure)
+            onMet()
         }
+        meeting.connection = peer.connection
     }
 
     /** Calls [host], through another entry host if it doesn't respond directly. */
@@ -139,7 +162,11 @@
         if (hosts.revision < this.hosts.revision) return
         this.hosts = hosts
         val removedHosts = peersByHost.keys - hosts.hosts.toSet()
-        removedHosts.forEach { peersByHost.remove(it)?.close() }
+        for (host in removedHosts) {
+            val peer = peersByHost.remove(host) ?: continue
+            meetings.remove(peer)
+            peer.close()
+        }
         hosts.hosts.forEach { host -> peersByHost.getOrPut(host) { newPeer(host) } }
     }
 
@@ -363,5 +390,8 @@
 
         /** Bounds the time until a host that responds again is used, to about half a second. */
         const val PROBE_TIMEOUT_MILLIS = 400L
+
+        /** Allows for a process that has just started, as the limit for newly started hosts does; see [TurnPeer.isUnresponsive]. */
+        const val MEET_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -215,8 +215,9 @@
 /** Announces the address at which an entry host relays calls, and requests those of other entry hosts. */
 @Serializable
 internal data class MeetRequest(
+    /** Empty while the entry host doesn't listen there. */
     val relayAddress: String,
-    /** Whether the entry host hears from the turn host for the first time since it started. */
+    /** Whether the entry host hears from the turn host for the first time on this connection. */
     val isFirst: Boolean = false,
 )
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnPeer.kt
@@ -75,6 +75,9 @@
             consecutiveFailures > 0 ||
                 (callStartMillis.values.firstOrNull()?.let { nowMillis() - it > unresponsiveAfterMillis } ?: false)
 
+    /** Identifies the open connection; null if there is none. Messages that the host sends without a request end with it. */
+    val connection: Any? get() = session
+
     private val unresponsiveAfterMillis: Long
         get() {
             val firstReply = firstReplyMillis
--- a/gateway/src/test/kotlin/lavendertrail/gateway/CrashingRequestTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/CrashingRequestTest.kt
@@ -19,7 +19,7 @@
     private val servers = List(5) { ScriptedServer { _, body -> if (body == POISON) null else signed("done") } }
     private val groups = mutableListOf<EventLoopGroup>()
     private val hosts by lazy {
-        listOf("a1", "b1", "c1").forEach { turnHosts.start(it, isFirstStart = true) }
+        TURN_HOSTS.forEach { turnHosts.start(it, isFirstStart = true) }
         turnHosts.awaitHosts("a1", "b1", "c1")
     }
 
@@ -90,7 +90,25 @@
         assertEquals(3, runs())
     }
 
+    /** Lets the request crash three servers through an entry host that all turn hosts have heard. */
+    private fun crashThreeServers(): Int {
+        val host = startEntryHost()
+        Thread.sleep(MEETING_MILLIS)
+        repeat(3) { assertEquals("502", send(host, POISON, "p$it")) }
+        Thread.sleep(SPREADING_MILLIS)
+        return host
+    }
+
+    // Guards against a host that has just started and takes requests before it has heard which of them crash servers.
+    @Test
+    fun `an entry host refuses a request that has crashed three servers from its start on`() {
+        crashThreeServers()
+        assertEquals("503", send(startEntryHost(), POISON, "late"))
+        assertEquals(3, runs())
+    }
+
     private companion object {
+        val TURN_HOSTS = listOf("a1", "b1", "c1")
         const val POISON = "poison"
         const val CALL_TIMEOUT_MILLIS = 5_000
 
