Keep reports of crashing requests over restarts of the turn hosts

When all of them were killed at one moment, or came back with new disks, an entry host that started later sent the request on to a server again. Cause: nothing was on disk, and entry hosts told their knowledge once, when they saw a crash, and not again to a turn host that had started or had missed a call. A turn host names its run; an entry host that meets a new run, or whose report failed, tells it all that counts against such requests. Replacing a file durably is shared with the list of turn hosts.

--- a/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
@@ -128,6 +128,12 @@
     if (due.isNotEmpty()) emit(ReportCrashEvidence(due.map { it.toEvidence(CrashEvidenceKind.CONNECTION_LOST, nowMillis) }))
 }
 
+/** Tells the turn host at [address] all that counts against requests that have lost connections repeatedly, whoever has seen it. */
+internal fun ServingWork.repeatCrashReports(address: String) {
+    val evidence = parts.crashes.evidence(minLosses = settings.crashesBeforeIsolation - 1, nowMillis)
+    if (evidence.isNotEmpty()) emit(ReportCrashEvidence(evidence, address))
+}
+
 private fun OwnLoss.toEvidence(
     kind: CrashEvidenceKind,
     nowMillis: Long,
--- a/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
@@ -70,6 +70,24 @@
 
     fun withCompletion(atMillis: Long): CrashRecord = copy(completedAtMillis = maxOf(completedAtMillis, atMillis))
 
+    /** The losses and trials since the last complete answer, without the losses in [excluded], as reports to other hosts. */
+    fun evidence(
+        fingerprint: String,
+        excluded: Set<LossId>,
+        nowMillis: Long,
+    ): List<CrashEvidence> {
+        val reportedLosses = losses.filter { (id, loss) -> id !in excluded && !loss.isWithdrawn && loss.endedAtMillis > completedAtMillis }
+        return reportedLosses.map { (id, loss) ->
+            val startedMillisAgo = nowMillis - loss.startedAtMillis
+            val endedMillisAgo = nowMillis - loss.endedAtMillis
+            CrashEvidence(CrashEvidenceKind.CONNECTION_LOST, fingerprint, id.attemptId, id.serverId, startedMillisAgo, endedMillisAgo)
+        } +
+            trialsSinceCompletion.map { (attemptId, atMillis) ->
+                val millisAgo = nowMillis - atMillis
+                CrashEvidence(CrashEvidenceKind.TRIED, fingerprint, attemptId, "", millisAgo, millisAgo)
+            }
+    }
+
     private fun <K, V> PersistentMap<K, V>.newest(atMillis: (V) -> Long): PersistentMap<K, V> =
         if (size <= MAX_ENTRIES) this else remove(entries.minBy { atMillis(it.value) }.key)
 
--- a/core/src/main/kotlin/lavendertrail/serving/CrashRegister.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRegister.kt
@@ -44,6 +44,17 @@
         }
     }
 
+    /** What counts against the fingerprints with [minLosses] or more losses, without the losses that may still be withdrawn here. */
+    fun evidence(
+        minLosses: Int,
+        nowMillis: Long,
+    ): List<CrashEvidence> {
+        val unreported = ownLosses.filterNot { it.isReported }.mapTo(mutableSetOf()) { it.id }
+        return records
+            .filterValues { it.countedLosses.size >= minLosses }
+            .flatMap { (fingerprint, record) -> record.evidence(fingerprint, unreported, nowMillis) }
+    }
+
     private fun with(
         fingerprint: String,
         nowMillis: Long,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -94,9 +94,10 @@
     val isChanged: Boolean,
 ) : ServingEffect
 
-/** Reports [evidence] about requests that may crash servers to the other entry hosts. */
+/** Reports [evidence] about requests that may crash servers to the other entry hosts, through all turn hosts or that at [address]. */
 public data class ReportCrashEvidence(
     val evidence: List<CrashEvidence>,
+    val address: String? = null,
 ) : ServingEffect
 
 /**
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -118,6 +118,11 @@
     val areKnown: Boolean,
 ) : ServingEvent
 
+/** The turn host at [address] has started, or has missed reports, and may know nothing about requests that crash servers. */
+public data class CrashReportsMissed(
+    val address: String,
+) : ServingEvent
+
 /** The process stood still, or its clock doesn't show for how long; permissions with a time limit may have run out. */
 public data object ProcessPaused : ServingEvent
 
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -36,6 +36,7 @@
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
         is CrashReportsKnown -> work.recordCrashReportsKnown(event.areKnown)
+        is CrashReportsMissed -> work.repeatCrashReports(event.address)
         ProcessPaused -> work.dropPermits()
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         is StopAnnounced -> work.announceStop(event)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import lavendertrail.serving.ClockTicked
 import lavendertrail.serving.CrashEvidenceLearnt
 import lavendertrail.serving.CrashReportsKnown
+import lavendertrail.serving.CrashReportsMissed
 import lavendertrail.serving.ProcessPaused
 import lavendertrail.serving.Reject
 import lavendertrail.serving.RejectReason
@@ -79,6 +80,7 @@
             onHostsLearnt = ::logLearntHosts,
             onLimitsLearnt = { submit(RequestLimitsLearnt(it)) },
             onCrashEvidenceLearnt = { submit(CrashEvidenceLearnt(it)) },
+            onCrashReportsMissed = { submit(CrashReportsMissed(it)) },
             onCallFailure = { log.warn("turn host call failed", it) },
         )
     private val pool =
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -97,7 +97,7 @@
     }
 
     fun reportCrashEvidence(effect: ReportCrashEvidence) {
-        turnClient.reportCrashEvidence(effect.evidence)
+        turnClient.reportCrashEvidence(effect.evidence, effect.address)
         for (evidence in effect.evidence) {
             log.event("crash evidence") {
                 put("kind", evidence.kind.name.lowercase())
@@ -105,6 +105,7 @@
                 put("request", evidence.attemptId)
                 put("server", evidence.serverId)
                 put("endedMillisAgo", evidence.endedMillisAgo)
+                effect.address?.let { put("repeatedTo", it) }
             }
         }
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/HostMeetings.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/HostMeetings.kt
@@ -8,6 +8,9 @@
     private val metConnections = HashMap<String, Any>()
     private val pending = HashSet<String>()
 
+    /** The run of each turn host that knows what this process has reported. */
+    private val runIds = HashMap<String, String>()
+
     class Meeting(
         val peer: TurnPeer,
     ) {
@@ -34,8 +37,19 @@
 
     fun isMet(peer: TurnPeer): Boolean = peer.connection.let { it != null && it === metConnections[peer.address] }
 
+    /** Whether [runId] isn't the run of [peer] that this process has reported to; it is from now on. */
+    fun isNewRun(
+        peer: TurnPeer,
+        runId: String,
+    ): Boolean = runIds.put(peer.address, runId) != runId
+
+    fun forgetRun(address: String) {
+        runIds.remove(address)
+    }
+
     fun remove(peer: TurnPeer) {
         metConnections.remove(peer.address)
         pending.remove(peer.address)
+        runIds.remove(peer.address)
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
@@ -4,15 +4,8 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.io.IOException
-import java.nio.ByteBuffer
-import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption.ATOMIC_MOVE
-import java.nio.file.StandardOpenOption.CREATE
-import java.nio.file.StandardOpenOption.READ
-import java.nio.file.StandardOpenOption.TRUNCATE_EXISTING
-import java.nio.file.StandardOpenOption.WRITE
 
 /**
  * The newest list of turn hosts that this host has read, and the newest one for which all records of this host have enough copies
@@ -76,17 +69,8 @@
     @Synchronized
     @Throws(IOException::class)
     fun save() {
-        Files.createDirectories(folder)
         val saved = SavedList(listing.revision, settledRevision, firstRevision, TurnHostDirectory.encode(listing.hosts))
-        val bytes = ByteBuffer.wrap(json.encodeToString(SavedList.serializer(), saved).toByteArray())
-        val newFile = folder.resolve("$FILE_NAME.new")
-        FileChannel.open(newFile, CREATE, WRITE, TRUNCATE_EXISTING).use { channel ->
-            while (bytes.hasRemaining()) channel.write(bytes)
-            channel.force(true)
-        }
-        Files.move(newFile, folder.resolve(FILE_NAME), ATOMIC_MOVE)
-        // The new name lasts over a power loss only once the folder is synced too.
-        FileChannel.open(folder, READ).use { it.force(true) }
+        replaceFile(folder, FILE_NAME, json.encodeToString(SavedList.serializer(), saved).toByteArray())
     }
 
     @Serializable
--- a/gateway/src/main/kotlin/lavendertrail/turns/PermitCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/PermitCalls.kt
@@ -45,8 +45,18 @@
     for (host in hosts.hosts) call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
 }
 
-/** Tells all turn hosts what may crash servers, so that they tell all entry hosts. */
-internal fun TurnClient.reportCrashEvidence(evidence: List<CrashEvidence>) {
+/** Tells the turn host at [address], or all of them, what may crash servers, so that they tell all entry hosts. */
+internal fun TurnClient.reportCrashEvidence(
+    evidence: List<CrashEvidence>,
+    address: String?,
+) {
     val request = PermitRequest(emptyList(), crashEvidence = evidence)
-    for (host in hosts.hosts) call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
+    for (host in hosts.hosts.filter { address == null || it.address == address }) {
+        call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { result ->
+            result.fold({}, {
+                onCallFailure(it)
+                recordMissedReport(host.address)
+            })
+        }
+    }
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -36,6 +36,8 @@
     private val onLimitsLearnt: (List<StatedLimit>) -> Unit = {},
     /** Called with what other entry hosts have reported about requests that may crash servers. */
     private val onCrashEvidenceLearnt: (List<CrashEvidence>) -> Unit = {},
+    /** Called with the address of a turn host that may lack what this process knows about such requests. */
+    private val onCrashReportsMissed: (address: String) -> Unit = {},
     /** Called when a turn host has told a newer list. */
     private val onHostsLearnt: (TurnHosts) -> Unit = {},
     internal val onCallFailure: (StepError) -> Unit,
@@ -113,12 +115,16 @@
             result.fold({ reply ->
                 relayedCalls.addRelayAddresses(reply.relayAddresses)
                 if (reply.crashEvidence.isNotEmpty()) onCrashEvidenceLearnt(reply.crashEvidence)
+                if (meetings.isNewRun(peer, reply.runId)) onCrashReportsMissed(peer.address)
             }, onCallFailure)
             onMet()
         }
         meeting.connection = peer.connection
     }
 
+    /** Notes that the turn host at [address] has missed a report, so that it gets all of them once it responds. */
+    internal fun recordMissedReport(address: String) = meetings.forgetRun(address)
+
     /** Calls [host], through another entry host if it doesn't respond directly. */
     internal fun <Q : Any, R : Any> call(
         host: TurnHost,
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -226,6 +226,8 @@
     val relayAddresses: List<String>,
     /** Reports about requests that may crash servers, for a host that missed a [CrashNotice]. */
     val crashEvidence: List<CrashEvidence> = emptyList(),
+    /** Identifies the run of the turn host's process. */
+    val runId: String = "",
 )
 
 /** Records of a turn host that is being retired. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import lavendertrail.gateway.nowMillis
 import java.net.InetSocketAddress
+import java.util.UUID
 import java.util.concurrent.TimeUnit
 
 private const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -23,11 +24,12 @@
     repository: TurnRepository,
     knownHosts: KnownHosts,
     onListState: (ListStateRequest) -> ListStateReply,
+    crashNoticeFile: CrashNoticeFile,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server {
     val sessions = OpenSessions()
-    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, ::nowMillis))
+    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis))
     return startCallServer(handlers, address, loop, ListFence(FENCED_METHODS) { knownHosts.listing }, sessions)
 }
 
@@ -83,11 +85,12 @@
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
 ): Map<String, CallHandler> {
+    val runId = UUID.randomUUID().toString()
     val entryHosts = EntryHosts(::nowMillis)
     val permits = RequestPermits(::nowMillis)
     return mapOf(
         callHandler(TurnMethods.meet) { request, reply ->
-            reply(MeetReply(entryHosts.announce(request.relayAddress), crashNotices.missedBy(request)))
+            reply(MeetReply(entryHosts.announce(request.relayAddress), crashNotices.missedBy(request), runId))
         },
         callHandler(TurnMethods.keep, repository::storeTurn),
         callHandler(TurnMethods.chain) { request, reply -> reply(repository.readChain(request)) },
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -28,10 +28,8 @@
 ) {
     private val loop = group.next()
     private val ownHost = TurnHost(settings.nodeName, settings.address, settings.failureDomain)
-    private val repository =
-        TurnRepository(settings.folder, loop, System::currentTimeMillis) { message ->
-            log.event("disk failed") { put("error", message) }
-        }
+    private val repository = TurnRepository(settings.folder, loop, System::currentTimeMillis, ::logDiskFailure)
+    private val crashNoticeFile = CrashNoticeFile(settings.folder, loop, System::currentTimeMillis, ::logDiskFailure)
     private val mirror = StoreMirror()
     private val directory = TurnHostDirectory(service, mirror)
     private val knownHosts = KnownHosts(settings.folder)
@@ -68,13 +66,25 @@
             put("programs", repository.programCount)
             put("complete", repository.isComplete)
         }
-        server = startTurnServer(repository, knownHosts, ::exchangeListState, socketAddress(settings.address), group)
+        server =
+            startTurnServer(
+                repository,
+                knownHosts,
+                ::exchangeListState,
+                crashNoticeFile,
+                socketAddress(settings.address),
+                group,
+            )
         loop.scheduleAtFixedRate({ repository.removeExpired() }, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         watcher.start()
         thread(name = "turn-store", isDaemon = true) { maintain() }
         thread(name = "turn-repair", isDaemon = true) { repairAfterChanges() }
     }
 
+    private fun logDiskFailure(message: String) {
+        log.event("disk failed") { put("error", message) }
+    }
+
     private fun adoptCachedList() {
         directory.cached()?.let(::adopt)
     }
--- a/gateway/src/test/kotlin/lavendertrail/gateway/CrashingRequestTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/CrashingRequestTest.kt
@@ -107,6 +107,27 @@
         assertEquals(3, runs())
     }
 
+    // Guards against reports that all turn hosts forget together.
+    @Test
+    fun `turn hosts that were all killed at one moment still tell a new entry host of the crashes`() {
+        crashThreeServers()
+        TURN_HOSTS.forEach { turnHosts.kill(it) }
+        TURN_HOSTS.forEach { turnHosts.start(it) }
+        assertEquals("503", send(startEntryHost(), POISON, "late"))
+        assertEquals(3, runs())
+    }
+
+    // Guards against turn hosts with new disks, which nobody tells what was reported before.
+    @Test
+    fun `an entry host tells turn hosts that have lost their disks of the crashes again`() {
+        crashThreeServers()
+        TURN_HOSTS.forEach { turnHosts.killAndDiscardDisk(it) }
+        TURN_HOSTS.forEach { turnHosts.start(it) }
+        Thread.sleep(MEETING_MILLIS)
+        assertEquals("503", send(startEntryHost(), POISON, "late"))
+        assertEquals(3, runs())
+    }
+
     private companion object {
         val TURN_HOSTS = listOf("a1", "b1", "c1")
         const val POISON = "poison"
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -76,11 +76,16 @@
         folders.remove(name)
     }
 
-    /** Ends the host [name] as SIGKILL does, and discards its disk. */
-    fun killAndDiscardDisk(name: String) {
+    /** Ends the host [name] as SIGKILL does, and leaves its disk. */
+    fun kill(name: String) {
         val runningHost = running.remove(name) ?: return
         runningHost.store.close()
         runningHost.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+    }
+
+    /** Ends the host [name] as SIGKILL does, and discards its disk. */
+    fun killAndDiscardDisk(name: String) {
+        kill(name)
         folders.remove(name)
     }
 
