Count the time that requests wait while a process stands still

A loop that loads classes or gets no processor time reads it later than it arrived, and the system's buffers don't tell since when. Evidence: ForwardedDeadlineTest "the time that a request waits while the process stands still is not handed to the server" failed before (1000 ms handed on of 1000 ms, after 750 ms), and passes now with the class's two others. Change: the loop's ticks show when it has stood still for more than 0.2 s; requests that are read then count from the start of that time, up to a second.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/CallerConnection.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/CallerConnection.kt
@@ -51,7 +51,7 @@
     /** Whether bytes have arrived since the last complete request, which may be the start of a request's head. */
     private var hasPartialRequest = false
 
-    /** When the head of the request that is being read was complete. */
+    /** When the head of the request that is being read may have arrived. */
     private var requestStartedMillis = 0L
 
     private class ReadRequest(
@@ -102,7 +102,7 @@
 
     private fun startRequest(request: HttpRequest) {
         head = request
-        requestStartedMillis = lastActivityMillis
+        requestStartedMillis = context.arrivalMillis()
         body = ByteArrayOutputStream()
         if (HttpUtil.getContentLength(request, 0L) >
             context.limits().maxBodyBytes
@@ -257,6 +257,8 @@
 /** The functions of the gateway that a [CallerConnection] calls. */
 internal class CallerConnectionContext(
     val nowMillis: () -> Long,
+    /** When the bytes that are being read may have arrived. */
+    val arrivalMillis: () -> Long,
     val limits: () -> CallerLimits,
     /** Whether responses close their connection, so that the caller reconnects and the platform selects a ready process. */
     val shouldCloseConnections: () -> Boolean,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -69,6 +69,7 @@
     private var drainStartedAtMillis = 0L
     private val drainSchedule = drainSchedule(settings.graceMillis)
     private val clockCheck = ClockCheck()
+    private val loopStall = LoopStall(TICK_MILLIS)
     private val turnHostReader =
         Executors.newSingleThreadExecutor { task -> thread(start = false, isDaemon = true, name = "turn-host-reader") { task.run() } }
     private val turnClient =
@@ -103,6 +104,7 @@
     private val callerContext =
         CallerConnectionContext(
             nowMillis = ::nowMillis,
+            arrivalMillis = loopStall::earliestArrivalMillis,
             limits = ::limits,
             shouldCloseConnections = { isDraining || turnClient.isCutOff },
             onOpened = ::onCallerConnected,
@@ -223,6 +225,7 @@
 
     private fun tick() {
         val tick = ticks++
+        loopStall.recordTick()
         runPeriodically("clock") { submit(ClockTicked) }
         if (tick % PROBE_TICKS == 0L) runPeriodically("probe turn hosts", ::probeTurnHosts)
         if (tick % RELAY_EXCHANGE_TICKS == RELAY_EXCHANGE_TICKS - 1) {
--- a/gateway/src/test/kotlin/lavendertrail/gateway/ForwardedDeadlineTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/ForwardedDeadlineTest.kt
@@ -78,6 +78,18 @@
             assertShortened("r1")
         }
 
+    // Guards against servers that are handed more time than is left, by a process that got no processor time for a while.
+    @Test
+    fun `the time that a request waits while the process stands still is not handed to the server`() =
+        withConnection {
+            getOutputStream().write(head("/once/first", "r0", 0).toByteArray())
+            getInputStream().readMessage()
+            group.next().execute { Thread.sleep(WAIT_MILLIS + STALL_SLACK_MILLIS) }
+            getOutputStream().write(head("/once/a", "r1", 0).toByteArray())
+            getInputStream().readMessage()
+            assertShortened("r1")
+        }
+
     @Test
     fun `the time that a request waits behind another on its connection is not handed to the server`() =
         withConnection {
@@ -87,6 +99,9 @@
         }
 
     private companion object {
+        /** A stall shorter than a tick and its tolerance doesn't count. */
+        const val STALL_SLACK_MILLIS = 150L
+
         /** The deadline that the fixture's protocol reads for each request. */
         const val CALLER_DEADLINE_MILLIS = 1_000L
         const val WAIT_MILLIS = 600L
