Count the calls that are made in place of slow turn hosts

Cause: a turn host that takes longer than 40 ms is replaced by the next one, one call more; which happens to hosts that get no processor time. Change: the calls are counted and in the state dump.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -190,6 +190,7 @@
             pendingRequests = state.pendingRequests,
             callerConnections = callerConnections.size,
             turnHosts = turnClient.hosts.hosts.map { it.name },
+            hedgedTurnCalls = turnClient.hedgedCallCount,
             serverOccupancy = state.serverOccupancy(nowMillis()),
             requestLimits = state.requestLimits,
         )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
@@ -13,6 +13,8 @@
     val pendingRequests: Int,
     val callerConnections: Int,
     val turnHosts: List<String>,
+    /** Calls to turn hosts since the start that were made in place of slow ones. */
+    val hedgedTurnCalls: Long,
     /** Estimated number of requests at each server, by server id. */
     val serverOccupancy: Map<String, Double>,
     /** The limits that servers state, in requests a second, by server id. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -51,6 +51,10 @@
     internal val currentHosts = CurrentHostsCheck(loop, readCurrentHosts)
     private val pendingSettlements = PendingSettlements()
 
+    /** Number of calls made in place of hosts that had not replied within [HEDGE_DELAY_MILLIS]. */
+    var hedgedCallCount = 0L
+        private set
+
     /** Whether settlements wait for the next reservation of their program; not in a process that is shutting down. */
     private var delaysSettlements = true
 
@@ -372,6 +376,7 @@
 
         fun hedge() {
             if (isEnded || remainingHosts.isEmpty()) return
+            hedgedCallCount++
             callNextHost()
             loop.schedule({ hedge() }, HEDGE_DELAY_MILLIS, TimeUnit.MILLISECONDS)
         }
