--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -45,8 +45,8 @@
     var hosts = TurnHosts()
         private set
     private val peersByHost = mutableMapOf<TurnHost, TurnPeer>()
-    private val meetings = HostMeetings()
     private val relayedCalls = RelayedCalls(loop, { hosts.revision }, ::adopt)
+    private val meetings = HostMeetings(relayedCalls::addRelayAddresses, onCrashEvidenceLearnt, onCrashReportsMissed, onCallFailure)
     internal val cache = TurnCache(cacheBytes)
     internal val currentHosts = CurrentHostsCheck(loop, readCurrentHosts)
     private val pendingSettlements = PendingSettlements()
@@ -93,7 +93,7 @@
 
     /** Announces this process's relay address to the turn hosts and gets the relay addresses of other entry hosts. */
     fun exchangeRelayAddresses(relayAddress: String) {
-        for (peer in peersByHost.values.filter { !it.isUnresponsive }) meet(peer, relayAddress) {}
+        for (peer in peersByHost.values.filter { !it.isUnresponsive }) meetings.meet(peer, relayAddress) {}
     }
 
     /**
@@ -105,25 +105,7 @@
         onMet: () -> Unit,
     ) {
         val newPeers = peersByHost.values.filter { !it.isUnresponsive && !meetings.isMet(it) && !meetings.isPending(it) }
-        for (peer in newPeers) meet(peer, relayAddress.orEmpty(), onMet)
-    }
-
-    private fun meet(
-        peer: TurnPeer,
-        relayAddress: String,
-        onMet: () -> Unit,
-    ) {
-        val meeting = meetings.begin(peer)
-        peer.call(TurnMethods.meet, MeetRequest(relayAddress, isFirst = !meetings.isMet(peer)), MEET_TIMEOUT_MILLIS) { result ->
-            meetings.end(meeting, isMet = result.isOk)
-            result.fold({ reply ->
-                relayedCalls.addRelayAddresses(reply.relayAddresses)
-                if (reply.crashEvidence.isNotEmpty()) onCrashEvidenceLearnt(reply.crashEvidence)
-                if (meetings.isNewRun(peer, reply.runId)) onCrashReportsMissed(peer.address)
-            }, onCallFailure)
-            onMet()
-        }
-        meeting.connection = peer.connection
+        for (peer in newPeers) meetings.meet(peer, relayAddress.orEmpty(), onMet)
     }
 
     /** Notes that the turn host at [address] has missed a report, so that it gets all of them once it responds. */
@@ -401,8 +383,5 @@
 
         /** Bounds the time until a host that responds again is used, to about half a second. */
         const val PROBE_TIMEOUT_MILLIS = 400L
-
-        /** Allows for a process that has just started, as the limit for newly started hosts does; see [TurnPeer.isUnresponsive]. */
-        const val MEET_TIMEOUT_MILLIS = 1_000L
     }
 }
