Don't wait for reports of turn hosts that answer with a failure

Seen: by reading; an entry host never got ready while a turn host that responds answered its question for reports with a failure, as one of another release may. Cause: only a successful answer counted as a meeting, and readiness waits for one with each turn host that responds. Evidence: HostMeetingsTest "hosts that answer with a failure are not waited for" failed before ("no known reports within 5000 ms"), and passes now; CrashingRequestTest 4 of 4. Change: an answer counts, whatever it is; a call without an answer marks the host as unresponsive, as before.

--- a/gateway/src/main/kotlin/lavendertrail/turns/HostMeetings.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/HostMeetings.kt
@@ -37,8 +37,10 @@
         peer.call(TurnMethods.meet, MeetRequest(relayAddress, isFirst = !isMet(peer)), TIMEOUT_MILLIS) { result ->
             pending -= address
             val connection = connectionOfCall
+            // A host that answers with a failure has nothing to tell, and must not be waited for.
+            val hasAnswered = result.isOk || !peer.isUnresponsive
             // A call that was repeated on another connection has missed what the host sent on the first one.
-            if (result.isOk && connection != null && peer.connection === connection) metConnections[address] = connection
+            if (hasAnswered && connection != null && peer.connection === connection) metConnections[address] = connection
             result.fold({ accept(address, it) }, onCallFailure)
             onMet()
         }
