Get the first list of a slow store with a longer limit

Cause: each call of a list had 1.5 s for its response, and a list that failed began anew on a new connection. While the store needed longer, no list was ever complete.

Evidence: StoreFeedTest "a process that starts while the store answers slower than the usual limit gets its entries" (2.5 s a call) failed on, "null after 10002 ms instead of first".

A limit that grows with each failure was left out, since a connection that has gone silent looks the same. The slow list doesn't count as news of the store, so unknown routes are refused as not run until a watch has reported.

The test of a store that is out of reach at the start and comes back passed before and after.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -1,6 +1,8 @@
 package lavendertrail.gateway
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
 import kotlinx.serialization.json.put
 import lavendertrail.model.StepError
 import lavendertrail.ports.KeyValue
@@ -17,6 +19,9 @@
  *
  * With [pauseMillis], the watcher waits after each batch of changes, so that the next call returns the changes of that time together.
  * A service that has reported nothing for longer than [waitMillis] counts as silent.
+ *
+ * Until the first list, a list with a longer limit runs beside those that fail, so that a process that starts while the service is
+ * slow gets its entries late instead of never. It may be old, so it doesn't count as heard.
  */
 public class StoreWatcher(
     private val service: KeyValueService,
@@ -28,6 +33,7 @@
     @Volatile
     private var isClosed = false
     private var isReachable: Boolean? = null
+    private val slowList = BackgroundCall("store-slow-list") { service.rangeOfSlowService("") }
 
     /** The revision up to which the listener knows all changes; null if the entries must be listed. */
     @Volatile
@@ -70,14 +76,26 @@
     }
 
     private fun handleList(snapshot: KeyValueSnapshot) {
+        if (!acceptList(snapshot)) return
+        recordReport(snapshot.revision)
+    }
+
+    private fun handleSlowList(snapshot: KeyValueSnapshot) {
+        log.event("slow store list used") { put("revision", snapshot.revision) }
+        if (acceptList(snapshot)) recordRevision(snapshot.revision)
+    }
+
+    /** Passes the list on; returns false for one that is older than what is known. */
+    private fun acceptList(snapshot: KeyValueSnapshot): Boolean {
         if (snapshot.revision < newestRevision) {
             log.warn("store list left out", StepError("list", "store", "revision ${snapshot.revision} after $newestRevision"))
-            return Thread.sleep(RETRY_MILLIS)
+            Thread.sleep(RETRY_MILLIS)
+            return false
         }
         updateReachability(true, null)
         listener.onSnapshot(snapshot)
         listedUpToRevision = snapshot.readUpToRevision
-        recordReport(snapshot.revision)
+        return true
     }
 
     private fun watchFrom(known: Long) {
@@ -112,12 +130,16 @@
     }
 
     private fun recordReport(reportedRevision: Long) {
-        revision = reportedRevision
-        newestRevision = maxOf(newestRevision, reportedRevision)
+        recordRevision(reportedRevision)
         heardAtMillis = nowMillis()
         listener.onHeard()
     }
 
+    private fun recordRevision(reportedRevision: Long) {
+        revision = reportedRevision
+        newestRevision = maxOf(newestRevision, reportedRevision)
+    }
+
     private fun logEnd(error: StepError) {
         log.warn("store watch ended", error) {
             put("revision", revision)
@@ -128,7 +150,9 @@
     private fun handleListFailure(error: StepError) {
         log.warn("store list failed", error) { put("silentMillis", nowMillis() - heardAtMillis) }
         updateReachability(false, error)
-        Thread.sleep(RETRY_MILLIS)
+        val slow = if (newestRevision > 0) null else slowList.takeOrStart()
+        slow?.onFailure { log.warn("slow store list failed", it) }
+        slow?.get()?.let(::handleSlowList) ?: Thread.sleep(RETRY_MILLIS)
     }
 
     private fun updateReachability(
--- a/ports/src/main/kotlin/lavendertrail/ports/KeyValueService.kt
+++ b/ports/src/main/kotlin/lavendertrail/ports/KeyValueService.kt
@@ -10,6 +10,12 @@
 public interface KeyValueService : AutoCloseable {
     public fun range(prefix: String): Result<KeyValueSnapshot, StepError>
 
+    /**
+     * As [range], for callers that know nothing yet and rather wait long than fail. The snapshot may be as old as the call. Services
+     * may use the limits of [range].
+     */
+    public fun rangeOfSlowService(prefix: String): Result<KeyValueSnapshot, StepError> = range(prefix)
+
     public fun get(key: String): Result<KeyValue?, StepError>
 
     /** Compare-and-swap: writes [value] if the key's revision is [expectedRevision]; 0 means that the key must not exist. */
