Let the test of a stalled loop wait until the stall has begun

Cause, by reading: the test put the stall into the loop's queue of tasks and wrote its request at once. The loop reads connections before it runs tasks, so a request that has arrived by then is read before the stall and rightly keeps its whole deadline.

Change: the request is written once the stall has begun. The bound is unchanged.

--- a/gateway/src/test/kotlin/lavendertrail/gateway/ForwardedDeadlineTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/ForwardedDeadlineTest.kt
@@ -6,6 +6,7 @@
 import lavendertrail.serving.ServerChanged
 import lavendertrail.standins.freePorts
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertTrue
@@ -84,7 +85,13 @@
         withConnection {
             getOutputStream().write(head("/once/first", "r0", 0).toByteArray())
             getInputStream().readMessage()
-            group.next().execute { Thread.sleep(WAIT_MILLIS + STALL_SLACK_MILLIS) }
+            val isStalled = CountDownLatch(1)
+            group.next().execute {
+                isStalled.countDown()
+                Thread.sleep(WAIT_MILLIS + STALL_SLACK_MILLIS)
+            }
+            // The loop reads connections before it runs tasks, so an earlier request may be read before the stall.
+            isStalled.await()
             getOutputStream().write(head("/once/a", "r1", 0).toByteArray())
             getInputStream().readMessage()
             assertShortened("r1")
