Log what identifies a request whose connection was lost

Change: such an attempt is logged with its fingerprint, the size and checksum of its body, the caller's address, affinity key and session, and the turn that it continues. No logic is changed.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -328,6 +328,7 @@
                 put("outcome", outcome.name.lowercase())
                 put("detail", detail)
                 put("afterMillis", nowMillis() - attempt.sentAtMillis)
+                if (outcome == AttemptOutcome.BROKEN) putIdentity(exchange)
             }
         }
         submit(
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ExchangeLog.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.put
+import java.net.InetSocketAddress
+import java.util.zip.CRC32
 
 /** Adds the fields that every log line about a request has. */
 internal fun JsonObjectBuilder.putRequest(exchange: Exchange) {
@@ -16,3 +18,17 @@
     exchange.request.resumedAttemptId?.let { put("resumes", it) }
     exchange.request.resumeAfterEventId?.let { put("afterEvent", it) }
 }
+
+/** Adds what tells whether two attempts are the same request of the same caller; for attempts that may have crashed a server. */
+internal fun JsonObjectBuilder.putIdentity(exchange: Exchange) {
+    val request = exchange.request
+    put("fingerprint", request.fingerprint)
+    put("bodyBytes", exchange.body.size)
+    put("bodyHash", CRC32().apply { update(exchange.body) }.value.toString(HEX_RADIX))
+    (exchange.connection.channel.remoteAddress() as? InetSocketAddress)?.let { put("callerAddress", it.address.hostAddress) }
+    put("affinityKey", request.affinityKey)
+    put("session", request.sessionId)
+    put("continues", request.previousTurnId)
+}
+
+private const val HEX_RADIX = 16
