Know a request that crashes servers by its content, whichever program sends it

Where the request is answered for another sender, losses count against their own sender, so that a harmful caller doesn't shut out others that send the same. The second loss of a request is reported at once.

--- a/core/src/main/kotlin/lavendertrail/serving/CrashEvidence.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashEvidence.kt
@@ -14,6 +14,8 @@
     val serverId: String,
     val startedMillisAgo: Long,
     val endedMillisAgo: Long,
+    /** Who sent the request; see [CallerRequest.senderId]. */
+    val senderId: String = "",
 )
 
 public enum class CrashEvidenceKind {
--- a/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
@@ -12,11 +12,13 @@
 internal fun ServingWork.isHeldBack(pending: PendingRequest): Boolean {
     val fingerprint = pending.request.fingerprint ?: return false
     val record = parts.crashes[fingerprint] ?: return false
-    if (record.countedLosses.size < settings.crashesBeforeIsolation - 1) return false
-    val isolatedUntilMillis = record.isolatedUntilMillis(settings)
+    val senderId = pending.request.senderId
+    val crashCount = record.lossesAgainst(senderId).size
+    if (crashCount < settings.crashesBeforeIsolation - 1) return false
+    val isolatedUntilMillis = record.isolatedUntilMillis(senderId, settings)
     val waitMillis =
         when {
-            isolatedUntilMillis == null && !isSentByOthers(pending, fingerprint) -> return false
+            isolatedUntilMillis == null && !isSentMeanwhile(pending, fingerprint, record) -> return false
             isolatedUntilMillis == null -> meanServiceDurationMillis(pending).toLong()
             record.isTrial(pending.request.attemptId) -> return false
             isolatedUntilMillis <= nowMillis -> {
@@ -25,28 +27,35 @@
             }
             else -> isolatedUntilMillis - nowMillis
         }
-    rejectUnlessPossiblyRun(pending, RejectReason.CRASHES_SERVERS, waitMillis, record.detail)
+    rejectUnlessPossiblyRun(pending, RejectReason.CRASHES_SERVERS, waitMillis, "$crashCount crashes")
     return true
 }
 
 /** Rejects a request that is isolated before any work is done for it. */
 internal fun ServingWork.rejectIfIsolated(pending: PendingRequest): Boolean {
     val record = pending.request.fingerprint?.let { parts.crashes[it] } ?: return false
-    val waitMillis = (record.isolatedUntilMillis(settings) ?: return false) - nowMillis
+    val senderId = pending.request.senderId
+    val waitMillis = (record.isolatedUntilMillis(senderId, settings) ?: return false) - nowMillis
     if (waitMillis <= 0) return false
-    rejectRequest(pending, RejectReason.CRASHES_SERVERS, waitMillis, record.detail)
+    rejectRequest(pending, RejectReason.CRASHES_SERVERS, waitMillis, "${record.lossesAgainst(senderId).size} crashes")
     return true
 }
 
-private val CrashRecord.detail: String get() = "${countedLosses.size} crashes"
-
-private fun ServingWork.isSentByOthers(
+/** Whether the request is at a server for another attempt, of the same sender where others are answered. */
+private fun ServingWork.isSentMeanwhile(
     pending: PendingRequest,
     fingerprint: String,
-): Boolean =
-    parts.requests.values.any {
-        it.key != pending.key && it.stage == PendingRequest.Stage.SENT && it.request.fingerprint == fingerprint
+    record: CrashRecord,
+): Boolean {
+    val senderId = pending.request.senderId
+    val ofSenderOnly = record.isAnsweredForOthers(senderId)
+    return parts.requests.values.any {
+        it.key != pending.key &&
+            it.stage == PendingRequest.Stage.SENT &&
+            it.request.fingerprint == fingerprint &&
+            (!ofSenderOnly || it.request.senderId == senderId)
     }
+}
 
 /** Renews the isolation at all hosts before the request is sent, so that it is sent by one of them only. */
 private fun ServingWork.startTrial(
@@ -71,8 +80,10 @@
         AttemptOutcome.NOT_RUN -> recordServerAlive(pending)
         AttemptOutcome.BROKEN -> {
             if (isServerAlive) return recordServerAlive(pending)
-            val loss = OwnLoss(fingerprint, LossId(pending.request.attemptId, serverId), LostAttempt(pending.sentAtMillis, nowMillis))
+            val attempt = LostAttempt(pending.sentAtMillis, nowMillis, senderId = pending.request.senderId)
+            val loss = OwnLoss(fingerprint, LossId(pending.request.attemptId, serverId), attempt)
             parts = parts.copy(crashes = parts.crashes.withOwnLoss(loss, nowMillis, settings))
+            reportAnswerForOthers(fingerprint)
         }
         AttemptOutcome.UNREACHABLE, AttemptOutcome.WRONG_SERVER, AttemptOutcome.WITHDRAWN -> Unit
     }
@@ -84,20 +95,38 @@
     serverId: String,
 ) {
     val crashes = parts.crashes
+    val senderId = pending.request.senderId
+    parts = parts.copy(recentAnswers = parts.recentAnswers.with(fingerprint, RecentAnswers.Answer(senderId, nowMillis)))
     val record = crashes[fingerprint] ?: return
-    if (record.countedLosses.isEmpty()) return
-    val unreported = crashes.ownLosses.filter { it.fingerprint == fingerprint && !it.isReported }
+    if (record.lossesAgainst(senderId).isEmpty()) return
+    val own = crashes.ownLosses.filter { it.fingerprint == fingerprint && it.attempt.senderId == senderId }
+    val unreported = own.filter { !it.isReported }
     parts =
         parts.copy(
             crashes =
                 crashes
-                    .withCompletion(fingerprint, nowMillis)
-                    .copy(ownLosses = crashes.ownLosses.removeAll { it.fingerprint == fingerprint }),
+                    .withAnswer(fingerprint, senderId, nowMillis)
+                    .copy(ownLosses = crashes.ownLosses.removeAll(own)),
         )
     if (!record.hasLossOtherThan(unreported.mapTo(mutableSetOf()) { it.id })) return
     val sentMillisAgo = nowMillis - pending.sentAtMillis
     val attemptId = pending.request.attemptId
-    emit(ReportCrashEvidence(listOf(CrashEvidence(CrashEvidenceKind.COMPLETED, fingerprint, attemptId, serverId, sentMillisAgo, 0))))
+    val answer = CrashEvidence(CrashEvidenceKind.COMPLETED, fingerprint, attemptId, serverId, sentMillisAgo, 0, senderId)
+    emit(ReportCrashEvidence(listOf(answer)))
+}
+
+/**
+ * Tells all hosts that the request was answered for somebody before its first loss was known. Only then can they tell a request that
+ * many senders share from one that crashes servers for all.
+ */
+private fun ServingWork.reportAnswerForOthers(fingerprint: String) {
+    val record = parts.crashes[fingerprint] ?: return
+    val answer = parts.recentAnswers[fingerprint] ?: return
+    if (!record.hasLosses || record.isAnsweredForOthers(senderId = NO_SENDER)) return
+    parts = parts.copy(crashes = parts.crashes.withAnswer(fingerprint, answer.senderId, answer.atMillis))
+    val millisAgo = nowMillis - answer.atMillis
+    val evidence = CrashEvidence(CrashEvidenceKind.COMPLETED, fingerprint, "", "", millisAgo, millisAgo, answer.senderId)
+    emit(ReportCrashEvidence(listOf(evidence)))
 }
 
 /** Withdraws the losses at the server of [pending], which it has answered although it was sent after them. */
@@ -113,13 +142,25 @@
 
 internal fun ServingWork.recordLearntCrashEvidence(evidence: List<CrashEvidence>) {
     parts = parts.copy(crashes = evidence.fold(parts.crashes) { register, item -> register.with(item, nowMillis, settings) })
+    evidence.filter { it.kind == CrashEvidenceKind.CONNECTION_LOST }.distinctBy { it.fingerprint }.forEach {
+        reportAnswerForOthers(it.fingerprint)
+    }
 }
 
 /** Reports the losses of servers that haven't answered since, and forgets them once an answer would prove nothing any more. */
 internal fun ServingWork.reportLosses() {
     val losses = parts.crashes.ownLosses
     if (losses.isEmpty()) return
-    val due = losses.filter { !it.isReported && nowMillis - it.attempt.endedAtMillis >= settings.crashReportDelayMillis }
+    val due =
+        losses.filter {
+            !it.isReported &&
+                (
+                    isRepeated(
+                        it,
+                    ) ||
+                        nowMillis - it.attempt.endedAtMillis >= settings.crashReportDelayMillis
+                )
+        }
     val kept =
         losses
             .filter { nowMillis - it.attempt.endedAtMillis < settings.crashVerdictMillis }
@@ -128,6 +169,9 @@
     if (due.isNotEmpty()) emit(ReportCrashEvidence(due.map { it.toEvidence(CrashEvidenceKind.CONNECTION_LOST, nowMillis) }))
 }
 
+/** Whether the request has lost another connection, so that its next attempt may follow soon and must not wait for the report. */
+private fun ServingWork.isRepeated(loss: OwnLoss): Boolean = parts.crashes[loss.fingerprint]?.hasLossOtherThan(setOf(loss.id)) == true
+
 /** Tells the turn host at [address] all that counts against requests that have lost connections repeatedly, whoever has seen it. */
 internal fun ServingWork.repeatCrashReports(address: String) {
     val evidence = parts.crashes.evidence(minLosses = settings.crashesBeforeIsolation - 1, nowMillis)
@@ -144,4 +188,8 @@
     id.serverId,
     nowMillis - attempt.startedAtMillis,
     nowMillis - attempt.endedAtMillis,
+    attempt.senderId,
 )
+
+/** Differs from the sender of any request. */
+private const val NO_SENDER = "-"
--- a/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
@@ -6,46 +6,64 @@
 /**
  * The attempts with one fingerprint that lost their connection, and what speaks against a crash. Evidence may arrive more than once
  * and out of order.
+ *
+ * Losses count against all senders of the request, since most requests name nobody who stays the same. Where a sender is answered,
+ * the request alone doesn't crash servers: then losses count against their own sender, and against others only as often as
+ * different senders had one.
  */
 internal data class CrashRecord(
     val changedAtMillis: Long,
     private val losses: PersistentMap<LossId, LostAttempt> = persistentHashMapOf(),
     private val trialsAtMillis: PersistentMap<String, Long> = persistentHashMapOf(),
-    private val completedAtMillis: Long = Long.MIN_VALUE,
+    private val answersAtMillis: PersistentMap<String, Long> = persistentHashMapOf(),
 ) {
+    private val lastAnswerMillis: Long = answersAtMillis.values.maxOrNull() ?: Long.MIN_VALUE
+
+    private val lossesOfAll: List<LostAttempt> by lazy { losses.values.countedAfter(lastAnswerMillis) }
+
+    /** The most losses that count against any sender. */
+    val mostLosses: Int by lazy {
+        maxOf(lossesOfAll.size, losses.values.distinctBy { it.senderId }.maxOfOrNull { lossesOf(it.senderId).size } ?: 0)
+    }
+
+    val hasLosses: Boolean get() = losses.values.any { !it.isWithdrawn }
+
+    private fun lossesOf(senderId: String): List<LostAttempt> =
+        losses.values.filter { it.senderId == senderId }.countedAfter(answersAtMillis[senderId] ?: Long.MIN_VALUE)
+
     /**
-     * The losses since the last complete answer, each of an attempt that began after the loss before. Servers that go down together
-     * take concurrent requests with them, which therefore count as one.
+     * The losses that count against a request of [senderId], each of an attempt that began after the loss before. Servers that go
+     * down together take concurrent requests with them, which therefore count as one.
      */
-    val countedLosses: List<LostAttempt> by lazy {
-        losses.values
-            .filter { !it.isWithdrawn && it.endedAtMillis > completedAtMillis }
-            .sortedBy { it.endedAtMillis }
-            .fold(emptyList()) { counted, loss ->
-                val last = counted.lastOrNull()
-                if (last == null || loss.isAfter(last)) counted + loss else counted
-            }
+    fun lossesAgainst(senderId: String): List<LostAttempt> {
+        val ofAll = if (isAnsweredForOthers(senderId)) lossesOfAll.distinctBy { it.senderId } else lossesOfAll
+        val own = lossesOf(senderId)
+        return if (own.size >= ofAll.size) own else ofAll
     }
 
-    private val trialsSinceCompletion get() = trialsAtMillis.filterValues { it > completedAtMillis }
+    fun isAnsweredForOthers(senderId: String): Boolean = answersAtMillis.keys.any { it != senderId }
 
     fun hasLossOtherThan(ids: Set<LossId>): Boolean = losses.keys.any { it !in ids }
 
     /** Whether [attemptId] is the latest trial, and no connection has been lost since. */
     fun isTrial(attemptId: String): Boolean {
-        val latest = trialsSinceCompletion.maxByOrNull { it.value } ?: return false
-        return latest.key == attemptId && countedLosses.none { it.endedAtMillis > latest.value }
+        val latest = trialsAtMillis.maxByOrNull { it.value } ?: return false
+        return latest.key == attemptId && losses.values.none { !it.isWithdrawn && it.endedAtMillis > latest.value }
     }
 
     /**
-     * Until when requests with the fingerprint are refused; null if too few crashes are counted. Each trial that crashed a server
-     * prolongs the time; one that no server ran doesn't.
+     * Until when requests of [senderId] with the fingerprint are refused; null if too few crashes are counted. Each trial that crashed
+     * a server prolongs the time; one that no server ran doesn't.
      */
-    fun isolatedUntilMillis(settings: ServingSettings): Long? {
-        val failedTrials = countedLosses.size - settings.crashesBeforeIsolation
+    fun isolatedUntilMillis(
+        senderId: String,
+        settings: ServingSettings,
+    ): Long? {
+        val counted = lossesAgainst(senderId)
+        val failedTrials = counted.size - settings.crashesBeforeIsolation
         if (failedTrials < 0) return null
-        val lastLossMillis = countedLosses.last().endedAtMillis
-        val pendingTrialMillis = trialsSinceCompletion.values.filter { it > lastLossMillis }.maxOrNull()
+        val lastLossMillis = counted.last().endedAtMillis
+        val pendingTrialMillis = trialsAtMillis.values.filter { it > lastLossMillis }.maxOrNull()
         if (pendingTrialMillis != null) return pendingTrialMillis + settings.pendingCrashTrialMillis
         return lastLossMillis + settings.crashTrialDelaysMillis.getOrElse(failedTrials) { settings.crashRecordRetentionMillis }
     }
@@ -68,23 +86,37 @@
         return copy(changedAtMillis = nowMillis, trialsAtMillis = trialsAtMillis.put(attemptId, atMillis).newest { it })
     }
 
-    fun withCompletion(atMillis: Long): CrashRecord = copy(completedAtMillis = maxOf(completedAtMillis, atMillis))
+    fun withAnswer(
+        senderId: String,
+        atMillis: Long,
+    ): CrashRecord {
+        val latestMillis = maxOf(answersAtMillis[senderId] ?: Long.MIN_VALUE, atMillis)
+        return copy(answersAtMillis = answersAtMillis.put(senderId, latestMillis).newest { it })
+    }
 
-    /** The losses and trials since the last complete answer, without the losses in [excluded], as reports to other hosts. */
+    /** What counts against the request or speaks for it, without the losses in [excluded], as reports to other hosts. */
     fun evidence(
         fingerprint: String,
         excluded: Set<LossId>,
         nowMillis: Long,
     ): List<CrashEvidence> {
-        val reportedLosses = losses.filter { (id, loss) -> id !in excluded && !loss.isWithdrawn && loss.endedAtMillis > completedAtMillis }
+        val reportedLosses =
+            losses.filter { (id, loss) ->
+                id !in excluded && !loss.isWithdrawn && loss.endedAtMillis > (answersAtMillis[loss.senderId] ?: Long.MIN_VALUE)
+            }
         return reportedLosses.map { (id, loss) ->
             val startedMillisAgo = nowMillis - loss.startedAtMillis
             val endedMillisAgo = nowMillis - loss.endedAtMillis
-            CrashEvidence(CrashEvidenceKind.CONNECTION_LOST, fingerprint, id.attemptId, id.serverId, startedMillisAgo, endedMillisAgo)
+            val kind = CrashEvidenceKind.CONNECTION_LOST
+            CrashEvidence(kind, fingerprint, id.attemptId, id.serverId, startedMillisAgo, endedMillisAgo, loss.senderId)
         } +
-            trialsSinceCompletion.map { (attemptId, atMillis) ->
+            trialsAtMillis.map { (attemptId, atMillis) ->
                 val millisAgo = nowMillis - atMillis
                 CrashEvidence(CrashEvidenceKind.TRIED, fingerprint, attemptId, "", millisAgo, millisAgo)
+            } +
+            answersAtMillis.map { (senderId, atMillis) ->
+                val millisAgo = nowMillis - atMillis
+                CrashEvidence(CrashEvidenceKind.COMPLETED, fingerprint, "", "", millisAgo, millisAgo, senderId)
             }
     }
 
@@ -96,6 +128,14 @@
     }
 }
 
+private fun Collection<LostAttempt>.countedAfter(answerMillis: Long): List<LostAttempt> =
+    filter { !it.isWithdrawn && it.endedAtMillis > answerMillis }
+        .sortedBy { it.endedAtMillis }
+        .fold(emptyList()) { counted, loss ->
+            val last = counted.lastOrNull()
+            if (last == null || loss.isAfter(last)) counted + loss else counted
+        }
+
 internal data class LossId(
     val attemptId: String,
     val serverId: String,
@@ -108,6 +148,8 @@
     val isWithdrawn: Boolean = false,
     /** Whether another host has seen it. Its times appear later by the time that the report took. */
     val isLearnt: Boolean = false,
+    /** Who sent the request; see [CallerRequest.senderId]. */
+    val senderId: String = "",
 ) {
     fun isAfter(other: LostAttempt): Boolean {
         val toleranceMillis = if (isLearnt || other.isLearnt) REPORT_MILLIS else 0
--- a/core/src/main/kotlin/lavendertrail/serving/CrashRegister.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRegister.kt
@@ -21,12 +21,13 @@
     ): CrashRegister =
         with(loss.fingerprint, nowMillis, settings) { it.withLoss(loss.id, loss.attempt, nowMillis) }.copy(ownLosses = ownLosses.add(loss))
 
-    fun withCompletion(
+    fun withAnswer(
         fingerprint: String,
+        senderId: String,
         atMillis: Long,
     ): CrashRegister {
         val record = records[fingerprint] ?: return this
-        return copy(records = records.put(fingerprint, record.withCompletion(atMillis)))
+        return copy(records = records.put(fingerprint, record.withAnswer(senderId, atMillis)))
     }
 
     fun with(
@@ -35,11 +36,18 @@
         settings: ServingSettings,
     ): CrashRegister {
         val endedAtMillis = nowMillis - evidence.endedMillisAgo
-        if (evidence.kind == CrashEvidenceKind.COMPLETED) return withCompletion(evidence.fingerprint, endedAtMillis)
+        if (evidence.kind == CrashEvidenceKind.COMPLETED) return withAnswer(evidence.fingerprint, evidence.senderId, endedAtMillis)
         return with(evidence.fingerprint, nowMillis, settings) { record ->
             if (evidence.kind == CrashEvidenceKind.TRIED) return@with record.withTrial(evidence.attemptId, endedAtMillis, nowMillis)
             val isWithdrawn = evidence.kind == CrashEvidenceKind.SERVER_ALIVE
-            val loss = LostAttempt(nowMillis - evidence.startedMillisAgo, endedAtMillis, isWithdrawn, isLearnt = true)
+            val loss =
+                LostAttempt(
+                    nowMillis - evidence.startedMillisAgo,
+                    endedAtMillis,
+                    isWithdrawn,
+                    isLearnt = true,
+                    senderId = evidence.senderId,
+                )
             record.withLoss(LossId(evidence.attemptId, evidence.serverId), loss, nowMillis)
         }
     }
@@ -51,7 +59,7 @@
     ): List<CrashEvidence> {
         val unreported = ownLosses.filterNot { it.isReported }.mapTo(mutableSetOf()) { it.id }
         return records
-            .filterValues { it.countedLosses.size >= minLosses }
+            .filterValues { it.mostLosses >= minLosses }
             .flatMap { (fingerprint, record) -> record.evidence(fingerprint, unreported, nowMillis) }
     }
 
@@ -66,7 +74,7 @@
         val kept = expired.fold(changed) { rest, key -> rest.remove(key) }
         if (kept.size <= settings.maxCrashRecords) return copy(records = kept)
         // Most records are of a single loss by chance, and must not replace those of requests that crash servers.
-        val leastNeeded = kept.minWith(compareBy({ it.value.countedLosses.size }, { it.value.changedAtMillis }))
+        val leastNeeded = kept.minWith(compareBy({ it.value.mostLosses }, { it.value.changedAtMillis }))
         return copy(records = kept.remove(leastNeeded.key))
     }
 }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -44,6 +44,8 @@
     val turnLookupTimeoutMillis: Long = 1_200,
     /** Programs whose later turns are recognized. An entry host serves a few hundred programs at a time. */
     val maxRememberedPrograms: Int = 4_096,
+    /** Requests that were answered lately, by fingerprint; those of some seconds at the load of an entry host. */
+    val maxRememberedAnswers: Int = 4_096,
     /** Prompt parts remembered for each server. */
     val maxCachedParts: Int = 512,
     /** How long the origin of a stream is kept after its first event; several times the deadline within which a caller resumes it. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -69,6 +69,7 @@
     val crashes: CrashRegister = CrashRegister(),
     /** Whether this process has asked the turn hosts for the reports of other entry hosts; true while it knows no turn hosts. */
     val areCrashReportsKnown: Boolean = true,
+    val recentAnswers: RecentAnswers = RecentAnswers(settings.maxRememberedAnswers),
     val startedPrograms: RecentPrograms = RecentPrograms(settings.maxRememberedPrograms),
 )
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/CrashNotices.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/CrashNotices.kt
@@ -25,9 +25,10 @@
         val fingerprint: String,
         val attemptId: String,
         val serverId: String,
+        val senderId: String,
     )
 
-    private val CrashEvidence.key get() = NoticeKey(kind, fingerprint, attemptId, serverId)
+    private val CrashEvidence.key get() = NoticeKey(kind, fingerprint, attemptId, serverId, senderId)
 
     init {
         val now = nowMillis()
