--- a/core/src/main/kotlin/lavendertrail/serving/CallerRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CallerRequest.kt
@@ -27,6 +27,8 @@
     val previousTurnId: String? = null,
     /** See [requestFingerprint]; null if it isn't known. */
     val fingerprint: String? = null,
+    /** The key by which the caller names its account. */
+    val accountKey: AccountKey? = null,
 ) {
     val path: String get() = target.substringBefore('?')
 
--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -10,6 +10,8 @@
     val deadlineAtMillis: Long,
     val stage: Stage = Stage.PREPARING,
     val isFirstTurn: Boolean = false,
+    /** Null on public routes, and where the configuration has no accounts. */
+    val account: ClientAccount? = null,
     val permit: Permit? = null,
     val permitRequests: Int = 0,
     /** When the outstanding permit was requested; null if none is outstanding or it has lapsed. */
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -8,6 +8,15 @@
     MALFORMED(isNotRun = true),
     NO_ROUTE(isNotRun = true),
     NO_CONFIGURATION(isNotRun = true),
+
+    /** No account holds the caller's key, or there is none. */
+    UNKNOWN_KEY(isNotRun = true),
+
+    /** The accounts may have changed without this host having heard of it. */
+    KEY_UNCERTAIN(isNotRun = true),
+
+    /** The account has used its limit. */
+    QUOTA_EXCEEDED(isNotRun = true),
     UNKNOWN_TURN(isNotRun = true),
     TURN_UNCERTAIN(isNotRun = true),
     BUDGET_SPENT(isNotRun = true),
--- a/core/src/main/kotlin/lavendertrail/serving/Route.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/Route.kt
@@ -18,6 +18,8 @@
     val priority: Int,
     val isResumable: Boolean = false,
     val turnRetentionMillis: Long? = null,
+    /** Whether callers need no key, although the configuration has accounts. */
+    val isPublic: Boolean = false,
 ) {
     /** Whether a request that may have run can be sent again. */
     val isRepeatable: Boolean get() = kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && isResumable)
--- a/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
@@ -6,6 +6,8 @@
     val routes: List<Route>,
     val services: Map<String, ServiceSpec>,
     val limits: CallerLimits,
+    /** Null where callers need no key. */
+    val accounts: ClientAccounts? = null,
 ) {
     // The route with the longest matching prefix applies, so routes are sorted by prefix length.
     private val routesByHost: Map<String, List<Route>> =
