Let the pause of a store watch count towards the time without a report

Cause: each call of a watch waited for at most half of the bound, so that the pause after a batch and the wait together stay within it; but most calls report no change, and no pause precedes them. The wait alone decides how many calls an idle process makes. Change: pause and wait together take three quarters of the bound; a call after a pause waits that much shorter. The time until a silent connection is found is at most what it was.

--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -225,14 +225,15 @@
 ): Long = minOf(configBoundMillis, drainBoundMillis) / WATCH_PAUSE_DIVISOR
 
 /**
- * How long a call of a watch waits for changes. A connection may go silent without a reset, which only the end of the wait shows, and
- * the time from a change until it is known must stay within both bounds. Half of the shorter bound is for this wait and a quarter for
- * the pause before the call; the rest is for the answer that doesn't come, and for the call on a new connection.
+ * How long a watch may report nothing, the pause included: the call after a pause waits shorter than one after a call without changes.
+ * A connection may go silent without a reset, which only the end of the wait shows, and the time from a change until it is known must
+ * stay within both bounds. The last quarter of the shorter bound is for the answer that doesn't come, and for the call on a new
+ * connection.
  */
 public fun storeWatchWaitMillis(
     configBoundMillis: Long,
     drainBoundMillis: Long,
-): Long = minOf(configBoundMillis, drainBoundMillis) / WATCH_WAIT_DIVISOR
+): Long = minOf(configBoundMillis, drainBoundMillis) * WATCH_SILENCE_QUARTERS / WATCH_PAUSE_DIVISOR
 
 private const val WATCH_PAUSE_DIVISOR = 4
-private const val WATCH_WAIT_DIVISOR = 2
+private const val WATCH_SILENCE_QUARTERS = 3
--- a/gateway/src/test/kotlin/lavendertrail/gateway/StoreWatcherTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/StoreWatcherTest.kt
@@ -85,6 +85,13 @@
         assertEquals(1_000, storeWatchPauseMillis(configBoundMillis = 4_500, drainBoundMillis = 4_000))
     }
 
+    // Guards against a silence that leaves no time for the missing answer and for the call on a new connection.
+    @Test
+    fun `a watch may report nothing for three quarters of the shorter bound`() {
+        assertEquals(1_500, storeWatchWaitMillis(configBoundMillis = 2_000, drainBoundMillis = 3_000))
+        assertEquals(2_250, storeWatchWaitMillis(configBoundMillis = 3_000, drainBoundMillis = 4_000))
+    }
+
     private companion object {
         const val CALL_MILLIS = 4L
     }
