Serve requests by keys of client accounts, and stop in time when a key is taken away

Evidence: the time of an answer of the store says nothing about its age: a watch waits up to half of the shorter bound, an answer may lie in a buffer while the process stands still. The time at which the call began does, since the store's answers are linearizable. The reducer decides at arrival and before each attempt, and the gateway checks once more as a request is written. Servers get the account's name and neither the key nor what the caller states about it. Turns, origins of streams and programs in budgets are kept under ids that begin with the account's name; fingerprints end with a hash of it.

--- a/core/src/main/kotlin/lavendertrail/serving/EarlyRequests.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/EarlyRequests.kt
@@ -25,6 +25,9 @@
 /** Whether requests must wait, since this process may not have heard yet which of them crash servers. */
 internal fun ServingWork.awaitsCrashReports(): Boolean = !parts.areCrashReportsKnown && isStarting()
 
+/** Whether requests must wait, since this process has read its client accounts but not yet heard that no newer ones are in force. */
+internal fun ServingWork.awaitsAccounts(): Boolean = parts.config?.accounts != null && !parts.areKeysTrusted(nowMillis) && isStarting()
+
 internal fun ServingWork.recordCrashReportsKnown(areKnown: Boolean) {
     parts = parts.copy(areCrashReportsKnown = areKnown)
     releaseEarlyRequests()
@@ -42,7 +45,7 @@
 internal fun ServingWork.releaseEarlyRequests() {
     val waiting = parts.earlyRequests
     if (waiting.isEmpty()) return
-    val canServe = parts.config != null && parts.servers.isNotEmpty() && !awaitsCrashReports()
+    val canServe = parts.config != null && parts.servers.isNotEmpty() && !awaitsCrashReports() && !awaitsAccounts()
     if (!canServe && isStarting()) return
     parts = parts.copy(earlyRequests = waiting.clear())
     for (early in waiting) if (canServe) admitRequest(early.key, early.request, early.arrivedMillis) else rejectNotReady(early.key)
@@ -64,9 +67,13 @@
 ) {
     val silenceMillis = parts.storeHeardAtMillis?.let { nowMillis - it }
     val detail = "configuration ${config.version}, store silent for $silenceMillis ms"
-    val boundMillis = settings.configBoundMillis
-    val isCurrent = boundMillis == null || (silenceMillis != null && silenceMillis < boundMillis)
-    if (isCurrent) emit(Reject(key, RejectReason.NO_ROUTE, detail = detail)) else rejectNotReady(key, detail)
+    if (parts.isConfigCurrent(nowMillis)) emit(Reject(key, RejectReason.NO_ROUTE, detail = detail)) else rejectNotReady(key, detail)
+}
+
+/** Whether the platform's store has been heard so recently that a newer configuration need not be in force yet. */
+internal fun ServingParts.isConfigCurrent(nowMillis: Long): Boolean {
+    val boundMillis = settings.configBoundMillis ?: return true
+    return storeHeardAtMillis != null && nowMillis - storeHeardAtMillis < boundMillis
 }
 
 /** The route exists, so that a later configuration may name a usable service for it. */
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFingerprint.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFingerprint.kt
@@ -16,6 +16,12 @@
     return listOf(stableHash(target).toULong(), bodyHash.toULong(), body.size.toULong()).joinToString("-") { it.toString(HEX_RADIX) }
 }
 
+/** The fingerprint of a request of one client account, given that of the same request without one. */
+public fun accountFingerprint(
+    fingerprint: String,
+    accountName: String,
+): String = "$fingerprint-${stableHash(accountName).toULong().toString(HEX_RADIX)}"
+
 /**
  * Tells senders of the same request apart as far as a request allows it: the hash of its affinity key, its session or its program;
  * empty for a request that names none.
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -19,12 +19,15 @@
     arrivedMillis: Long,
 ) {
     val config = parts.config
-    if (config == null || awaitsCrashReports()) return holdEarlyRequest(key, request)
+    if (config == null || awaitsCrashReports() || awaitsAccounts()) return holdEarlyRequest(key, request)
     val route = config.route(request.host, request.path) ?: return rejectWithoutRoute(key, config)
+    val account = config.account(route, request)
+    if (rejectWithoutKey(key, route, account)) return
     val service = route.serviceFor(request)?.let { config.services[it] } ?: return rejectWithoutService(key, route)
     val timeoutMillis = minOf(route.timeoutMillis, request.deadlineMillis ?: route.timeoutMillis)
     val pending =
-        PendingRequest(key, request, route, service, arrivedMillis, arrivedMillis + timeoutMillis, isFirstTurn = isFirstTurn(request))
+        PendingRequest(key, request.of(account), route, service, arrivedMillis, arrivedMillis + timeoutMillis, account = account)
+            .let { it.copy(isFirstTurn = isFirstTurn(it)) }
     putRequest(pending)
     if (pending.remainingMillis(nowMillis) < settings.minRemainingMillis) return rejectRequest(pending, RejectReason.DEADLINE_PASSED)
     if (!endsBeforeStop(pending)) return rejectRequest(pending, RejectReason.STOPPING, STOPPING_RETRY_MILLIS)
@@ -32,7 +35,7 @@
     if (!isAdmitted(pending)) {
         return rejectRequest(pending, RejectReason.OVERLOADED, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
-    request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + it) }
+    request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + pending.ownedId(it)) }
     requestHistoryAndBudget(pending)
 }
 
@@ -41,15 +44,17 @@
     val request = pending.request
     val program = request.programId ?: return true
     if (pending.service.engine == null || !pending.isFirstTurn) return true
-    val mostUrgentPriority = parts.config?.routes?.minOf { it.priority }
-    return admitBySlowdown(AdmissionInput(slowdown(pending), pending.route.priority == mostUrgentPriority, uniformHash(program)))
+    val isMostUrgent = pending.priority == parts.config?.mostUrgentPriority
+    return admitBySlowdown(AdmissionInput(slowdown(pending), isMostUrgent, uniformHash(program)))
 }
 
-private fun ServingWork.isFirstTurn(request: CallerRequest): Boolean =
-    request.programId != null &&
-        request.programId !in parts.startedPrograms &&
-        request.previousTurnId == null &&
-        request.resumeAfterEventId == null
+private fun ServingWork.isFirstTurn(pending: PendingRequest): Boolean =
+    with(pending.request) {
+        programId != null &&
+            pending.ownedId(programId) !in parts.startedPrograms &&
+            previousTurnId == null &&
+            resumeAfterEventId == null
+    }
 
 private fun ServingWork.slowdown(pending: PendingRequest): Double = parts.pace[pending.service.name]?.slowdown ?: 1.0
 
@@ -88,7 +93,7 @@
     val origin = originLookup(pending, timeoutMillis)
     if (origin == null && pending.isResume) return rejectRequest(pending, RejectReason.STREAM_ORIGIN_UNKNOWN)
     putRequest(pending.copy(awaitsHistory = history != null, awaitsBudget = reservation != null, awaitsOrigin = origin != null))
-    if (history != null) emit(LoadHistory(pending.key, history, request.programId, timeoutMillis))
+    if (history != null) emit(LoadHistory(pending.key, pending.ownedId(history), request.programId, timeoutMillis))
     if (origin != null) emit(origin)
     if (reservation != null) emit(reservation)
     if (history == null && reservation == null && origin == null) placeRequest(pending.key)
@@ -99,7 +104,7 @@
     timeoutMillis: Long,
 ): ReserveTokens? {
     val request = pending.request
-    val program = request.programId ?: return null
+    val program = request.programId?.let(pending::ownedId) ?: return null
     val budgetTokens = request.tokenBudget ?: return null
     if (pending.route.kind != RequestKind.STREAM) return null
     return ReserveTokens(pending.key, program, request.sessionId, request.attemptId, request.maxOutputTokens, budgetTokens, timeoutMillis)
@@ -172,7 +177,7 @@
     pending: PendingRequest,
     server: BackendServer,
 ) {
-    if (isHeldBack(pending)) return
+    if (rejectIfKeyLost(pending) || isHeldBack(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
     putRequest(
         pending.copy(
@@ -191,6 +196,8 @@
             isStream = pending.route.kind == RequestKind.STREAM,
             turnRetentionMillis = pending.route.turnRetentionMillis,
             originRetentionMillis = settings.streamOriginRetentionMillis.takeIf { pending.route.isResumable && !pending.isResume },
+            accountName = pending.account?.name,
+            hidesAccountKey = parts.config?.accounts != null || pending.account != null,
         ),
     )
 }
@@ -342,7 +349,7 @@
 ) {
     settleReservation(pending)
     removeRequest(pending.key)
-    emit(Reject(pending.key, reason, retryAfterMillis, detail))
+    emit(Reject(pending.key, reason, retryAfterMillis, detail, pending.account?.name))
 }
 
 private fun ServingWork.abortResponse(
@@ -356,7 +363,7 @@
 
 /** Replaces the reservation by the tokens that reached the caller, even while the answer of the turn hosts is still pending. */
 private fun ServingWork.settleReservation(pending: PendingRequest) {
-    val program = pending.request.programId ?: return
+    val program = pending.request.programId?.let(pending::ownedId) ?: return
     if (!pending.isReserved && !pending.awaitsBudget) return
     val request = pending.request
     val tokensPerEvent = pending.service.engine?.tokensPerEvent ?: 1
--- a/core/src/main/kotlin/lavendertrail/serving/ResumeFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ResumeFlow.kt
@@ -15,7 +15,7 @@
     timeoutMillis: Long,
 ): LoadStreamOrigin? {
     val attemptId = pending.request.resumedAttemptId ?: return null
-    return if (pending.isResume) LoadStreamOrigin(pending.key, attemptId, timeoutMillis) else null
+    return if (pending.isResume) LoadStreamOrigin(pending.key, pending.ownedId(attemptId), timeoutMillis) else null
 }
 
 internal fun ServingWork.handleStreamOriginLoaded(event: StreamOriginLoaded) {
--- a/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
@@ -13,6 +13,11 @@
     private val routesByHost: Map<String, List<Route>> =
         routes.groupBy { it.host.lowercase() }.mapValues { (_, list) -> list.sortedByDescending { it.prefix.length } }
 
+    /** The smallest number among the priorities of routes and accounts; null without routes. */
+    internal val mostUrgentPriority: Int? by lazy {
+        (routes.map { it.priority } + accounts?.accounts.orEmpty().mapNotNull { it.priority }).minOrNull()
+    }
+
     /** The route of [path] on [host], which may carry a port, or null where none matches. */
     public fun route(
         host: String,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -53,6 +53,10 @@
     val isStream: Boolean,
     val turnRetentionMillis: Long?,
     val originRetentionMillis: Long? = null,
+    /** The caller's client account, which the server is told; null on public routes and where there are no accounts. */
+    val accountName: String? = null,
+    /** Whether neither the caller's key nor the account that it states may reach the server. */
+    val hidesAccountKey: Boolean = false,
 ) : ServingEffect
 
 /** Answers the request with a rejection; the caller may retry after [retryAfterMillis]. */
@@ -61,6 +65,8 @@
     val reason: RejectReason,
     val retryAfterMillis: Long? = null,
     val detail: String = "",
+    /** The caller's client account, for the log. */
+    val accountName: String? = null,
 ) : ServingEffect
 
 /** Closes the caller's connection, because an answer that has begun can't be completed. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -32,6 +32,14 @@
 /** The platform's store has reported all its changes up to now, so that no older configuration is in force here. */
 public data object StoreHeard : ServingEvent
 
+/**
+ * The client accounts known here are those of the platform's store at [askedAtMillis], by the clock of the reducer, or later: the store
+ * has reported all its changes in an answer to a question that was asked then.
+ */
+public data class AccountsConfirmed(
+    val askedAtMillis: Long,
+) : ServingEvent
+
 public data class RequestArrived(
     val key: RequestKey,
     val request: CallerRequest,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -24,6 +24,7 @@
         }
         is ServerRemoved -> work.removeServer(event.id, event.mayHaveExpired)
         StoreHeard -> work.recordStoreHeard()
+        is AccountsConfirmed -> work.recordAccountsConfirmed(event.askedAtMillis)
         is StoreReachabilityChanged -> work.updateStoreReachability(event.isReachable)
         is RequestArrived -> work.handleRequestArrived(event.key, event.request)
         is HistoryLoaded -> work.handleHistoryLoaded(event)
@@ -37,7 +38,10 @@
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
         is CrashReportsKnown -> work.recordCrashReportsKnown(event.areKnown)
         is CrashReportsMissed -> work.repeatCrashReports(event.address)
-        ProcessPaused -> work.dropPermits()
+        ProcessPaused -> {
+            work.distrustKeys()
+            work.dropPermits()
+        }
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         is StopAnnounced -> work.announceStop(event)
         ClockTicked -> work.handleTick()
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -12,6 +12,11 @@
      * doesn't answer that a route doesn't exist. Null if there is no such bound.
      */
     val configBoundMillis: Long? = null,
+    /**
+     * Time after which no request runs any more with a key that was taken away. A process that last asked the platform's store nearly
+     * as long ago serves no requests with keys. Null if there is no such bound.
+     */
+    val revocationBoundMillis: Long? = null,
     /**
      * A shorter silence of the platform's store lets no entry of a live server expire, which takes three heartbeats of the server. The
      * store may have been down since one heartbeat after the last one.
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -29,6 +29,22 @@
     /** Why a request that was placed at [server] must not be written to it any more; null if it may. */
     public fun withdrawal(server: BackendServer): ServerWithdrawal? = parts.withdrawal(server)
 
+    /** Whether the request [key], which was placed at a server, may be written to it as far as its caller's key is concerned. */
+    public fun isKeyInForce(
+        key: RequestKey,
+        nowMillis: Long,
+    ): Boolean = parts.requests[key]?.let { parts.keyProblem(it, nowMillis) } == null
+
+    /** Number of client accounts; null where callers need no key. */
+    public val accountCount: Int? get() =
+        parts.config
+            ?.accounts
+            ?.accounts
+            ?.size
+
+    /** Whether no known key can have been taken away for longer than the bound; requests with keys run only then. */
+    public fun areKeysTrusted(nowMillis: Long): Boolean = parts.areKeysTrusted(nowMillis)
+
     /** Slowdown of streams for each service, compared with idle engines; waits included. */
     public val slowdown: Map<String, Double> get() = parts.pace.mapValues { it.value.slowdown }
 
@@ -44,6 +60,10 @@
     val startedAtMillis: Long? = null,
     /** When the platform's store last reported that all its changes are known here; null before the first report. */
     val storeHeardAtMillis: Long? = null,
+    /** When the question was asked whose answer last confirmed the client accounts; null if none has since the start or a pause. */
+    val accountsAskedAtMillis: Long? = null,
+    /** When a pause of the process was last noticed; null if none was. */
+    val resumedAtMillis: Long? = null,
     /** Requests that arrived before the first configuration, in the order of arrival. */
     val earlyRequests: PersistentList<EarlyRequest> = persistentListOf(),
     val servers: PersistentMap<String, ServerState> = persistentHashMapOf(),
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -23,11 +23,11 @@
 import lavendertrail.serving.ReportCrashEvidence
 import lavendertrail.serving.ReportLeavingServer
 import lavendertrail.serving.ReportRequestLimit
+import lavendertrail.serving.RequestKey
 import lavendertrail.serving.RequestPermit
 import lavendertrail.serving.ReserveTokens
 import lavendertrail.serving.SendToServer
 import lavendertrail.serving.ServerLeavingSeen
-import lavendertrail.serving.ServerWithdrawal
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
@@ -46,7 +46,8 @@
     private val log: StructuredLog,
     private val metrics: GatewayMetrics,
     private val submit: (ServingEvent) -> Unit,
-    private val withdrawal: (BackendServer) -> ServerWithdrawal?,
+    /** Why the request may not be written to the server at which it was placed; null if it may. */
+    private val sendProblem: (RequestKey, BackendServer) -> String?,
     private val onFinished: (Exchange) -> Unit,
 ) {
     private val streamForwarder =
@@ -104,17 +105,16 @@
     ) {
         val attempt = ServerAttempt(effect, nowMillis(), continuesStream = exchange.isResponseStarted)
         exchange.currentAttempt = attempt
-        exchange.attemptCount++
-        exchange.lastServer = effect.server
+        exchange.recordSend(effect)
         pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
-                // The server's entry may have changed while the connection was opened.
-                val withdrawal = withdrawal(effect.server)
+                // The server's entry, or the caller's key, may have changed while the connection was opened.
+                val problem = sendProblem(exchange.key, effect.server)
                 when {
                     attempt.isCancelled -> connection.abandon()
-                    withdrawal != null -> {
+                    problem != null -> {
                         connection.abandon()
-                        endAttempt(exchange, attempt, AttemptOutcome.WITHDRAWN, "server ${withdrawal.name.lowercase()}")
+                        endAttempt(exchange, attempt, AttemptOutcome.WITHDRAWN, problem)
                     }
                     else -> writeRequest(exchange, attempt, connection)
                 }
@@ -361,6 +361,7 @@
     ) {
         // A response that has been started can't be replaced by another one.
         if (exchange.isResponseStarted) return abortResponse(exchange, effect.reason.name.lowercase())
+        exchange.accountName = effect.accountName
         metrics.recordRejection(effect.reason)
         log.event("request rejected") {
             putRequest(exchange)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -25,6 +25,9 @@
     var currentAttempt: ServerAttempt? = null
     var attemptCount = 0
     var lastServer: BackendServer? = null
+
+    /** The caller's client account, as of the last decision about the request; null if it has or needs none. */
+    var accountName: String? = null
     var forwardedEvents = 0
     var lastEventId: String? = null
     var isResponseStarted = false
@@ -33,6 +36,12 @@
     val output = ByteArrayOutputStream()
     var firstEventAtMillis: Long? = null
 
+    fun recordSend(effect: SendToServer) {
+        attemptCount++
+        lastServer = effect.server
+        accountName = effect.accountName
+    }
+
     fun addOutput(data: String) {
         output.write(data.toByteArray())
         output.write(LINE_FEED)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ForwardedMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ForwardedMessages.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
+import lavendertrail.serving.accountOwnedId
 import lavendertrail.turns.TurnRecord
 import java.io.ByteArrayOutputStream
 
@@ -25,9 +26,9 @@
 
 internal fun Exchange.toTurnRecord(expiresAtEpochMillis: Long) =
     TurnRecord(
-        id = request.attemptId,
+        id = accountOwnedId(accountName, request.attemptId),
         programId = request.programId.orEmpty(),
-        previousId = request.previousTurnId,
+        previousId = request.previousTurnId?.let { accountOwnedId(accountName, it) },
         input = body,
         output = output.toByteArray(),
         expiresAtEpochMillis = expiresAtEpochMillis,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.serialization.json.put
 import lavendertrail.model.StepError
+import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerDisconnected
 import lavendertrail.serving.CallerLimits
 import lavendertrail.serving.ClockTicked
@@ -22,6 +23,7 @@
 import lavendertrail.serving.Reject
 import lavendertrail.serving.RejectReason
 import lavendertrail.serving.RequestArrived
+import lavendertrail.serving.RequestKey
 import lavendertrail.serving.RequestLimitsLearnt
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
@@ -98,7 +100,7 @@
             log,
             metrics,
             ::submit,
-            { state.withdrawal(it) },
+            ::sendProblem,
             ::removeExchange,
         )
     private val callerContext =
@@ -151,6 +153,20 @@
         apply(event)
     }
 
+    private fun sendProblem(
+        key: RequestKey,
+        server: BackendServer,
+    ): String? {
+        // The process may have stood still until the connection was ready.
+        if (clockCheck.hasPaused()) apply(ProcessPaused)
+        val withdrawal = state.withdrawal(server)
+        return when {
+            withdrawal != null -> "server ${withdrawal.name.lowercase()}"
+            !state.isKeyInForce(key, nowMillis()) -> "key not in force"
+            else -> null
+        }
+    }
+
     private fun apply(event: ServingEvent) {
         val step = reduceServing(state, nowMillis(), event)
         state = step.state
@@ -193,6 +209,9 @@
             hedgedTurnCalls = turnClient.hedgedCallCount,
             serverOccupancy = state.serverOccupancy(nowMillis()),
             requestLimits = state.requestLimits,
+            accounts = state.accountCount,
+            areKeysTrusted = state.areKeysTrusted(nowMillis()),
+            rejections = metrics.rejectionCounts(),
         )
 
     /**
@@ -228,6 +247,7 @@
         val tick = ticks++
         loopStall.recordTick()
         runPeriodically("clock") { submit(ClockTicked) }
+        state.accountCount?.let { metrics.recordAccounts(it, state.areKeysTrusted(nowMillis())) }
         if (tick % PROBE_TICKS == 0L) runPeriodically("probe turn hosts", ::probeTurnHosts)
         if (tick % RELAY_EXCHANGE_TICKS == RELAY_EXCHANGE_TICKS - 1) {
             settings.relayAddress?.let { runPeriodically("exchange relay addresses") { exchangeRelayAddresses(it) } }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
@@ -19,4 +19,10 @@
     val serverOccupancy: Map<String, Double>,
     /** The limits that servers state, in requests a second, by server id. */
     val requestLimits: Map<String, Double>,
+    /** Number of client accounts; null where callers need no key. */
+    val accounts: Int?,
+    /** Whether requests with keys run; false while a key may have been taken away for too long without this process having heard. */
+    val areKeysTrusted: Boolean,
+    /** Requests that lavendertrail has rejected since the start, by reason. */
+    val rejections: Map<String, Long>,
 )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -21,6 +21,8 @@
         PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
     private val storeWatchEnds: Counter = registry.counter("lavendertrail_store_watch_ends")
     private val storeHeardAtMillis = AtomicLong(nowMillis())
+    private val accounts = AtomicLong()
+    private val keysTrusted = AtomicLong(1)
     private val leavingServers: Counter = registry.counter("lavendertrail_leaving_servers")
     private val sentAfterWithdrawal: Timer =
         Timer.builder("lavendertrail_sent_after_withdrawal").serviceLevelObjectives(*LATENCY_BUCKETS).register(registry)
@@ -34,8 +36,24 @@
     init {
         // The age of what is known of the platform's store, in seconds.
         registry.gauge("lavendertrail_store_silence_seconds", storeHeardAtMillis) { (nowMillis() - it.get()) / MILLIS_PER_SECOND }
+        registry.gauge("lavendertrail_accounts", accounts)
+        // 0 while requests with keys are refused, since a key may have been taken away without this process having heard.
+        registry.gauge("lavendertrail_keys_trusted", keysTrusted)
     }
 
+    /** Records the number of client accounts, and whether requests with their keys run. */
+    public fun recordAccounts(
+        count: Int,
+        areKeysTrusted: Boolean,
+    ) {
+        accounts.set(count.toLong())
+        keysTrusted.set(if (areKeysTrusted) 1 else 0)
+    }
+
+    /** Rejections since the start by reason, without reasons that haven't occurred. */
+    public fun rejectionCounts(): Map<String, Long> =
+        rejections.entries.associate { (reason, counter) -> reason.name.lowercase() to counter.count().toLong() }.filterValues { it > 0 }
+
     /** Records that the platform's store has reported its changes, or that there are none. */
     public fun recordStoreHeard(): Unit = storeHeardAtMillis.set(nowMillis())
 
--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -46,6 +46,10 @@
     @Volatile
     private var heardAtMillis = nowMillis()
 
+    /** The last call to the service, which its next report answers, began at this time or later. */
+    @Volatile
+    private var askedAtMillis = 0L
+
     /** The revision of the newest page of the last list. */
     @Volatile
     private var listedUpToRevision = 0L
@@ -65,7 +69,7 @@
         while (!isClosed) {
             try {
                 val known = revision
-                if (known == null) service.range("").fold(::handleList, ::handleListFailure) else watchFrom(known)
+                if (known == null) list() else watchFrom(known)
             } catch (e: Throwable) {
                 // Whatever a single entry causes, the process must go on following the store.
                 log.error("store feed failed", e)
@@ -75,6 +79,11 @@
         }
     }
 
+    private fun list() {
+        askedAtMillis = nowMillis()
+        service.range("").fold(::handleList, ::handleListFailure)
+    }
+
     private fun handleList(snapshot: KeyValueSnapshot) {
         if (!acceptList(snapshot)) return
         recordReport(snapshot.revision)
@@ -100,6 +109,7 @@
 
     private fun watchFrom(known: Long) {
         val openedAtMillis = nowMillis()
+        askedAtMillis = openedAtMillis
         hasWatchReported = false
         heldBatch = null
         val watchEnded = CountDownLatch(1)
@@ -127,12 +137,13 @@
             if (pauseMillis > 0 && !reported.isProgress) Thread.sleep(pauseMillis)
         }
         hasWatchReported = true
+        askedAtMillis = nowMillis()
     }
 
     private fun recordReport(reportedRevision: Long) {
         recordRevision(reportedRevision)
         heardAtMillis = nowMillis()
-        listener.onHeard()
+        listener.onHeard(askedAtMillis)
     }
 
     private fun recordRevision(reportedRevision: Long) {
@@ -180,13 +191,14 @@
 
 /**
  * Callbacks of a [StoreWatcher], called on its threads. A snapshot replaces all entries known so far. `onHeard` is called after each
- * report of the store, with or without a change, once its changes have been passed on; `onWatchEnded` after each watch.
+ * report of the store, with or without a change, once its changes have been passed on, with a time before which the store wasn't asked
+ * for the report; `onWatchEnded` after each watch.
  */
 public class StoreListener(
     public val onSnapshot: (KeyValueSnapshot) -> Unit,
     public val onBatch: (WatchBatch) -> Unit,
     public val onReachable: (Boolean) -> Unit,
-    public val onHeard: () -> Unit = {},
+    public val onHeard: (askedAtMillis: Long) -> Unit = {},
     public val onWatchEnded: () -> Unit = {},
 ) {
     /** A listener that calls [action] after each snapshot and each batch. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -16,6 +16,7 @@
 import lavendertrail.serving.StreamOrigin
 import lavendertrail.serving.StreamOriginLoaded
 import lavendertrail.serving.TokensReserved
+import lavendertrail.serving.accountOwnedId
 import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
@@ -58,7 +59,8 @@
         origin: StreamOrigin,
         retentionMillis: Long,
     ) {
-        turnClient.storeOrigin(OriginRecord(exchange.request.attemptId, origin, System.currentTimeMillis() + retentionMillis))
+        val attemptId = accountOwnedId(exchange.accountName, exchange.request.attemptId)
+        turnClient.storeOrigin(OriginRecord(attemptId, origin, System.currentTimeMillis() + retentionMillis))
     }
 
     fun reserveTokens(effect: ReserveTokens) {
--- a/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/GatewayFixture.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import lavendertrail.model.FailureDomain
+import lavendertrail.serving.AccountKey
 import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerLimits
 import lavendertrail.serving.CallerRequest
@@ -91,11 +92,14 @@
                             deadlineMillis = head.headers()["X-Deadline"]?.toLong() ?: 1_000,
                             resumeAfterEventId = head.headers()["X-After"],
                             resumedAttemptId = head.headers()["X-Resumes"],
+                            accountKey = head.headers()["X-Key"]?.let(::AccountKey),
                         )
                     }
                 },
                 serverHeaders = { headers, effect ->
                     val copy = headers.copy().set("X-Server", effect.server.id)
+                    if (effect.hidesAccountKey) copy.remove("X-Key").remove("X-Account")
+                    effect.accountName?.let { copy.set("X-Account", it) }
                     effect.resumeAfterEventId?.let { copy.set("X-After", it) } ?: copy
                 },
                 decodeResponseHead = { head ->
