Place requests at home servers where the settings call for it

Cause: a request went to the server with the lowest estimated start, with a cost of at most 10 ms from a hash that knew no sizes. When servers came or went, or loads changed, most sessions changed their server, and shares didn't follow the servers' slots.

Change: weighted rendezvous hashing gives each affinity key or session an order of the servers. The reason is in the request's log line and in lavendertrail_placements_total.

--- a/core/src/main/kotlin/lavendertrail/serving/BackendServer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/BackendServer.kt
@@ -1,5 +1,7 @@
 package lavendertrail.serving
 
+import lavendertrail.membership.mix
+import lavendertrail.membership.stableHash
 import lavendertrail.model.FailureDomain
 
 /** A backend server as registered in the list of servers. [id] changes with each start of the server. */
@@ -15,4 +17,6 @@
     val startedEpochMillis: Long? = null,
     /** Servers of several versions may serve a service side by side. A stream that one of them began fits no other version. */
     val softwareVersion: String = "",
-)
+) {
+    internal val homeSeed: Long = mix(stableHash(id))
+}
--- a/core/src/main/kotlin/lavendertrail/serving/PermitFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PermitFlow.kt
@@ -66,9 +66,11 @@
     putRequest(used)
     val isLapsed = nowMillis - permit.promisedForMillis > settings.permitValidityMillis
     val server = candidates(used).firstOrNull { it.server.id == permit.serverId }?.server
-    if (isLapsed || server == null) placeRequest(key) else sendToServer(used, server)
+    if (isLapsed || server == null) placeRequest(key) else sendToServer(used, server, permitCause())
 }
 
+private fun ServingWork.permitCause() = PlacementCause(PlacementReason.PERMIT).takeIf { settings.homePreferenceMillis != null }
+
 /** Makes all permits lapse, also those whose grant is still on its way: the process stood still for an unknown time. */
 internal fun ServingWork.dropPermits() {
     val affected = parts.requests.values.filter { it.permit != null || it.permitRequestedAtMillis != null }
--- a/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PlacementPolicy.kt
@@ -10,7 +10,13 @@
  * Several entry hosts place requests at the same time. A host sees the requests of the others only after a server has
  * reported them.
  */
-internal typealias PlacementPolicy = (PlacementInput) -> ServerState?
+internal typealias PlacementPolicy = (PlacementInput) -> PlacementChoice?
+
+/** [cause] is null where requests have no home. */
+internal data class PlacementChoice(
+    val state: ServerState,
+    val cause: PlacementCause? = null,
+)
 
 internal data class PlacementInput(
     val candidates: List<ServerState>,
@@ -23,6 +29,10 @@
     val maxPermitWaitMillis: Long? = null,
     val nowMillis: Long,
     val settings: ServingSettings,
+    /** The [candidates], and the servers that could be home but may not be chosen now. */
+    val listed: List<ServerState> = candidates,
+    /** Servers to which an earlier attempt was sent. */
+    val triedServers: Set<String> = emptySet(),
 )
 
 /**
@@ -35,12 +45,18 @@
     input.candidates
         .filter { it.hasCapacity(input) }
         .minByOrNull { input.estimatedStartMillis(it) }
+        ?.let { PlacementChoice(it) }
 }
 
+/** Requests have homes where a setting says how much a home is preferred. */
+internal fun placementPolicy(settings: ServingSettings): PlacementPolicy =
+    if (settings.homePreferenceMillis == null) lowestEstimatedStart else homeServer
+
 /** Where a request goes. */
 internal sealed interface Placement {
     data class Send(
         val server: BackendServer,
+        val cause: PlacementCause? = null,
     ) : Placement
 
     /** One of [servers], all of which state a limit, the preferred one first. */
@@ -59,15 +75,15 @@
  */
 internal fun choosePlacement(
     input: PlacementInput,
-    policy: PlacementPolicy = lowestEstimatedStart,
+    policy: PlacementPolicy = placementPolicy(input.settings),
 ): Placement {
-    val best = policy(input) ?: return Placement.Full
-    if (best.requestLimit == null) return Placement.Send(best.server)
-    val unlimited = policy(input.copy(candidates = input.candidates.filter { it.requestLimit == null }))
+    val (best, cause) = policy(input) ?: return Placement.Full
+    if (best.requestLimit == null) return Placement.Send(best.server, cause)
+    val unlimited = policy(input.copy(candidates = input.candidates.filter { it.requestLimit == null }))?.state
     val limited =
         input.candidates
             .filter { it.requestLimit != null && it.hasCapacity(input) }
-            .sortedBy { input.estimatedStartMillis(it) }
+            .sortedBy { if (it === best) Double.NEGATIVE_INFINITY else input.estimatedStartMillis(it) }
             .take(MAX_PERMIT_CANDIDATES)
     val spareMillis = unlimited?.let { (input.estimatedStartMillis(it) - input.delayAfterSendMillis(best)).toLong() }
     val maxWaitMillis = input.maxPermitWaitMillis ?: 0
@@ -77,7 +93,7 @@
 /** Enough to find a server with a permit, and few enough for a small message. */
 private const val MAX_PERMIT_CANDIDATES = 12
 
-private fun ServerState.hasCapacity(input: PlacementInput): Boolean {
+internal fun ServerState.hasCapacity(input: PlacementInput): Boolean {
     if (requestLimit != null && !hasPermitInTime(input)) return false
     val limit = slots * (1 + input.settings.maxWaitingPerSlot)
     return occupancy(input.nowMillis, input.settings.loadHalfLifeMillis) < limit
@@ -88,7 +104,7 @@
     return permitWaitMillis(input.nowMillis) <= maxWaitMillis
 }
 
-private fun PlacementInput.estimatedStartMillis(state: ServerState): Double =
+internal fun PlacementInput.estimatedStartMillis(state: ServerState): Double =
     state.permitWaitMillis(nowMillis) + delayAfterSendMillis(state)
 
 /** Estimated time from sending the request to [state] until it starts there. */
@@ -98,12 +114,13 @@
     val slowdownMillis = occupied / state.slots * meanServiceDurationMillis * FULL_BATCH_SLOWDOWN
     val uncachedTokens = if (isEngine) request.promptParts.sumOf { it.tokens } - cachedTokens(state) else 0
     val remoteDomainMillis = if (state.server.failureDomain.value == selfDomain) 0.0 else settings.remoteDomainCostMillis
-    val affinityMillis = affinityCostShare(request, state.server.id) * MAX_AFFINITY_COST_MILLIS
+    val affinityMillis =
+        if (settings.homePreferenceMillis == null) affinityCostShare(request, state.server.id) * MAX_AFFINITY_COST_MILLIS else 0.0
     return waitMillis + slowdownMillis + uncachedTokens / settings.prefillTokensPerMillisecond + remoteDomainMillis + affinityMillis
 }
 
 /** Prompt tokens that are probably cached: those sent from here, or all but the last part where the session's last turn ran. */
-private fun PlacementInput.cachedTokens(state: ServerState): Int {
+internal fun PlacementInput.cachedTokens(state: ServerState): Int {
     val parts = request.promptParts
     val known = state.cache.cachedTokens(parts)
     return if (state.server.id == recentServerId) maxOf(known, parts.dropLast(1).sumOf { it.tokens }) else known
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -141,7 +141,7 @@
     if (candidates.isEmpty()) return rejectWithoutServer(pending)
     val input = placementInput(pending, candidates)
     when (val placement = choosePlacement(input)) {
-        is Placement.Send -> sendToServer(pending, placement.server)
+        is Placement.Send -> sendToServer(pending, placement.server, placement.cause)
         is Placement.AskPermit -> requestPermit(pending, input, placement.servers, placement.maxWaitMillis)
         Placement.Full -> rejectUnlessPossiblyRun(pending, RejectReason.OVERLOADED, fullRetryMillis(pending, candidates))
     }
@@ -171,6 +171,7 @@
 internal fun ServingWork.sendToServer(
     pending: PendingRequest,
     server: BackendServer,
+    cause: PlacementCause? = null,
 ) {
     if (isHeldBack(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
@@ -191,6 +192,7 @@
             isStream = pending.route.kind == RequestKind.STREAM,
             turnRetentionMillis = pending.route.turnRetentionMillis,
             originRetentionMillis = settings.streamOriginRetentionMillis.takeIf { pending.route.isResumable && !pending.isResume },
+            cause = cause,
         ),
     )
 }
@@ -223,6 +225,8 @@
     maxPermitWaitMillis = maxPermitWaitMillis(pending),
     nowMillis = nowMillis,
     settings = settings,
+    listed = if (settings.homePreferenceMillis == null) candidates else listedServers(pending),
+    triedServers = pending.triedServers,
 )
 
 /**
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -53,6 +53,8 @@
     val isStream: Boolean,
     val turnRetentionMillis: Long?,
     val originRetentionMillis: Long? = null,
+    /** Null where requests have no home server. */
+    val cause: PlacementCause? = null,
 ) : ServingEffect
 
 /** Answers the request with a rejection; the caller may retry after [retryAfterMillis]. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -34,6 +34,13 @@
     val prefillTokensPerMillisecond: Double = 110.0,
     /** Cost of a server in another failure domain; covers the latency and the price of traffic between domains. */
     val remoteDomainCostMillis: Double = 25.0,
+    /**
+     * How much later a request may start at its home server than at the best one, which callers accept for fewer changes of their
+     * server; less than [remoteDomainCostMillis]. Null where requests have no home and go to the server where they start first.
+     */
+    val homePreferenceMillis: Double? = null,
+    /** Requests per slot up to which a home server keeps its requests while others are busy too, as a multiple of their mean. */
+    val homeLoadBound: Double = 1.25,
     /** Assumed duration of a request until the first request of its service has ended. */
     val initialServiceDurationMillis: Double = 150.0,
     /** Weight of the latest duration in a service's moving average. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -106,6 +106,8 @@
         exchange.currentAttempt = attempt
         exchange.attemptCount++
         exchange.lastServer = effect.server
+        exchange.lastPlacement = effect.cause
+        effect.cause?.let { metrics.recordPlacement(it.reason) }
         pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
                 // The server's entry may have changed while the connection was opened.
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerRequest
+import lavendertrail.serving.PlacementCause
 import lavendertrail.serving.RequestKey
 import lavendertrail.serving.SendToServer
 import lavendertrail.turns.TurnRecord
@@ -25,6 +26,7 @@
     var currentAttempt: ServerAttempt? = null
     var attemptCount = 0
     var lastServer: BackendServer? = null
+    var lastPlacement: PlacementCause? = null
     var forwardedEvents = 0
     var lastEventId: String? = null
     var isResponseStarted = false
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ExchangeLog.kt
@@ -15,6 +15,10 @@
         put("lastServer", it.id)
         put("version", it.softwareVersion)
     }
+    exchange.lastPlacement?.let { cause ->
+        put("placed", cause.reason.name.lowercase())
+        cause.homeSlowerMillis?.let { put("homeSlowerMillis", it) }
+    }
     exchange.request.resumedAttemptId?.let { put("resumes", it) }
     exchange.request.resumeAfterEventId?.let { put("afterEvent", it) }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import lavendertrail.serving.AttemptOutcome
 import lavendertrail.serving.PermitDecision
+import lavendertrail.serving.PlacementReason
 import lavendertrail.serving.RejectReason
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -19,6 +20,8 @@
         AttemptOutcome.entries.associateWith { registry.counter("lavendertrail_attempts", "outcome", it.name.lowercase()) }
     private val permits: Map<PermitOutcome, Counter> =
         PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
+    private val placements: Map<PlacementReason, Counter> =
+        PlacementReason.entries.associateWith { registry.counter("lavendertrail_placements", "reason", it.name.lowercase()) }
     private val storeWatchEnds: Counter = registry.counter("lavendertrail_store_watch_ends")
     private val storeHeardAtMillis = AtomicLong(nowMillis())
     private val leavingServers: Counter = registry.counter("lavendertrail_leaving_servers")
@@ -46,6 +49,9 @@
 
     public fun recordAttempt(outcome: AttemptOutcome): Unit = attempts.getValue(outcome).increment()
 
+    /** Records why a request was sent to its server. */
+    public fun recordPlacement(reason: PlacementReason): Unit = placements.getValue(reason).increment()
+
     /** Records how long after the withdrawal of a server the last request was sent to it; null if none was sent at all. */
     public fun recordWithdrawnServer(lastSentAfterMillis: Long?) {
         lastSentAfterMillis?.let { sentAfterWithdrawal.record(it.coerceAtLeast(0), TimeUnit.MILLISECONDS) }
