--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -146,7 +146,7 @@
     if (candidates.isEmpty()) return rejectWithoutServer(pending)
     val input = placementInput(pending, candidates)
     when (val placement = choosePlacement(input)) {
-        is Placement.Send -> sendToServer(pending, placement.server)
+        is Placement.Send -> sendToServer(pending, placement.server, placement.cause)
         is Placement.AskPermit -> requestPermit(pending, input, placement.servers, placement.maxWaitMillis)
         Placement.Full -> rejectUnlessPossiblyRun(pending, RejectReason.OVERLOADED, fullRetryMillis(pending, candidates))
     }
@@ -176,6 +176,7 @@
 internal fun ServingWork.sendToServer(
     pending: PendingRequest,
     server: BackendServer,
+    cause: PlacementCause? = null,
 ) {
     if (rejectIfKeyLost(pending) || isHeldBack(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
@@ -198,6 +199,7 @@
             originRetentionMillis = settings.streamOriginRetentionMillis.takeIf { pending.route.isResumable && !pending.isResume },
             accountName = pending.account?.name,
             hidesAccountKey = parts.config?.accounts != null || pending.account != null,
+            cause = cause,
         ),
     )
 }
@@ -230,6 +232,8 @@
     maxPermitWaitMillis = maxPermitWaitMillis(pending),
     nowMillis = nowMillis,
     settings = settings,
+    listed = if (settings.homePreferenceMillis == null) candidates else listedServers(pending),
+    triedServers = pending.triedServers,
 )
 
 /**
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -57,6 +57,8 @@
     val accountName: String? = null,
     /** Whether neither the caller's key nor the account that it states may reach the server. */
     val hidesAccountKey: Boolean = false,
+    /** Null where requests have no home server. */
+    val cause: PlacementCause? = null,
 ) : ServingEffect
 
 /** Answers the request with a rejection; the caller may retry after [retryAfterMillis]. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -106,6 +106,7 @@
         val attempt = ServerAttempt(effect, nowMillis(), continuesStream = exchange.isResponseStarted)
         exchange.currentAttempt = attempt
         exchange.recordSend(effect)
+        effect.cause?.let { metrics.recordPlacement(it.reason) }
         pool.acquire(effect.server, exchange.request.attemptId) { result ->
             result.fold({ connection ->
                 // The server's entry, or the caller's key, may have changed while the connection was opened.
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerRequest
+import lavendertrail.serving.PlacementCause
 import lavendertrail.serving.RequestKey
 import lavendertrail.serving.SendToServer
 import lavendertrail.turns.TurnRecord
@@ -28,6 +29,7 @@
 
     /** The caller's client account, as of the last decision about the request; null if it has or needs none. */
     var accountName: String? = null
+    var lastPlacement: PlacementCause? = null
     var forwardedEvents = 0
     var lastEventId: String? = null
     var isResponseStarted = false
@@ -40,6 +42,7 @@
         attemptCount++
         lastServer = effect.server
         accountName = effect.accountName
+        lastPlacement = effect.cause
     }
 
     fun addOutput(data: String) {
