Keep the limits of client accounts over all entry hosts together

Cause: accounts have a limit (requestsPerSecond, burstRequests), and nothing counted their requests.

Change: the turn hosts choose one of them by votes of a majority, and it keeps a token bucket for each account. Entry hosts hold credit under a lease, spend it without a call, and report; reports replace each other, so that lost and repeated messages count once. Credit that may still be spent takes up room in the bucket. A new granter starts with empty buckets. Accounts without a limit and configurations without accounts cost no message.

PendingRequest.account is not set here; until it is, the check has no effect.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -33,7 +33,7 @@
         return rejectRequest(pending, RejectReason.OVERLOADED, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
     request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + it) }
-    requestHistoryAndBudget(pending)
+    requestHistoryAndBudget(withQuota(pending) ?: return)
 }
 
 /** Whether the program has had a turn already, or its first turn is admitted. */
@@ -54,7 +54,7 @@
 private fun ServingWork.slowdown(pending: PendingRequest): Double = parts.pace[pending.service.name]?.slowdown ?: 1.0
 
 /** A number between 0 and 1 that is the same for [subject] at all entry hosts. */
-private fun uniformHash(subject: String): Double =
+internal fun uniformHash(subject: String): Double =
     Math.floorMod(mix(stableHash(subject)), UNIFORM_HASH_STEPS) / UNIFORM_HASH_STEPS.toDouble()
 
 /**
@@ -132,7 +132,7 @@
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
-    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
+    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin || known.quotaAskedAtMillis != null) return
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
@@ -172,7 +172,7 @@
     pending: PendingRequest,
     server: BackendServer,
 ) {
-    if (isHeldBack(pending)) return
+    if (isHeldBack(pending) || !spendQuota(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
     putRequest(
         pending.copy(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -33,11 +33,15 @@
         is ServerLeavingSeen -> work.markLeaving(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
         is PermitDecided -> work.handlePermitDecided(event)
+        is QuotasGranted -> work.handleQuotasGranted(event)
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
         is CrashReportsKnown -> work.recordCrashReportsKnown(event.areKnown)
         is CrashReportsMissed -> work.repeatCrashReports(event.address)
-        ProcessPaused -> work.dropPermits()
+        ProcessPaused -> {
+            work.dropPermits()
+            work.dropQuotas()
+        }
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         is StopAnnounced -> work.announceStop(event)
         ClockTicked -> work.handleTick()
@@ -63,4 +67,5 @@
         .forEach { timeOutRequest(it) }
     endRequestsAtStop()
     usePermits()
+    updateQuotas()
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -193,6 +193,7 @@
             hedgedTurnCalls = turnClient.hedgedCallCount,
             serverOccupancy = state.serverOccupancy(nowMillis()),
             requestLimits = state.requestLimits,
+            quotas = state.quotaLevels,
         )
 
     /**
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
@@ -1,6 +1,7 @@
 package lavendertrail.gateway
 
 import kotlinx.serialization.Serializable
+import lavendertrail.serving.QuotaLevel
 
 /** State of a gateway process, served to operators as JSON. */
 @Serializable
@@ -19,4 +20,6 @@
     val serverOccupancy: Map<String, Double>,
     /** The limits that servers state, in requests a second, by server id. */
     val requestLimits: Map<String, Double>,
+    /** Credit of accounts with a limit that this host has requests of, by account. */
+    val quotas: Map<String, QuotaLevel> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -25,11 +25,12 @@
     knownHosts: KnownHosts,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNoticeFile: CrashNoticeFile,
+    quotas: AccountQuotas,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server {
     val sessions = OpenSessions()
-    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis))
+    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis), quotas)
     return startCallServer(handlers, address, loop, ListFence(FENCED_METHODS) { knownHosts.listing }, sessions)
 }
 
@@ -84,6 +85,7 @@
     repository: TurnRepository,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
+    quotas: AccountQuotas,
 ): Map<String, CallHandler> {
     val runId = UUID.randomUUID().toString()
     val entryHosts = EntryHosts(::nowMillis)
@@ -103,6 +105,8 @@
             crashNotices.report(request.crashEvidence)
             reply(permits.decide(request, entryHosts.count()))
         },
+        callHandler(TurnMethods.quota) { request, reply -> reply(quotas.decide(request)) },
+        callHandler(TurnMethods.quotaVote) { request, reply -> reply(quotas.vote(request)) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
         callHandler(TurnMethods.listState) { request, reply -> reply(onListState(request)) },
         callHandler(TurnMethods.missing) { request, reply -> reply(repository.findMissing(request)) },
