--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -36,7 +36,7 @@
         return rejectRequest(pending, RejectReason.OVERLOADED, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
     request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + pending.ownedId(it)) }
-    requestHistoryAndBudget(pending)
+    requestHistoryAndBudget(withQuota(pending) ?: return)
 }
 
 /** Whether the program has had a turn already, or its first turn is admitted. */
@@ -59,7 +59,7 @@
 private fun ServingWork.slowdown(pending: PendingRequest): Double = parts.pace[pending.service.name]?.slowdown ?: 1.0
 
 /** A number between 0 and 1 that is the same for [subject] at all entry hosts. */
-private fun uniformHash(subject: String): Double =
+internal fun uniformHash(subject: String): Double =
     Math.floorMod(mix(stableHash(subject)), UNIFORM_HASH_STEPS) / UNIFORM_HASH_STEPS.toDouble()
 
 /**
@@ -137,7 +137,7 @@
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
-    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
+    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin || known.quotaAskedAtMillis != null) return
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
@@ -178,7 +178,7 @@
     server: BackendServer,
     cause: PlacementCause? = null,
 ) {
-    if (rejectIfKeyLost(pending) || isHeldBack(pending)) return
+    if (rejectIfKeyLost(pending) || isHeldBack(pending) || !spendQuota(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
     putRequest(
         pending.copy(
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -212,6 +212,7 @@
             accounts = state.accountCount,
             areKeysTrusted = state.areKeysTrusted(nowMillis()),
             rejections = metrics.rejectionCounts(),
+            quotas = state.quotaLevels,
         )
 
     /**
