Let callers that are turned away return in the order of what they have invested

What callers saw: under a burst of new programs, running programs were turned away as often as new ones, came back after the same short time, and gave up after several turns that were in vain. Cause: Retry-After was a fixed share of the mean duration for everyone, or 400 to 900 ms for first turns, whatever the demand. Change: with ServingSettings.ordersReturns (off by default; on the platform where `contracts` of the settings file name `pressure`) running programs return first, longest prompts first, then new ones by a hash, spread over the time in which as many places become free through this host, and within a third of the time left. The rejection's detail says why and when room is expected. Without the setting all answers are as before. Evidence: PressureTest replays a burst on 12 entry hosts, also with a third of them cut off, restarted or slow.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -30,7 +30,7 @@
     if (!endsBeforeStop(pending)) return rejectRequest(pending, RejectReason.STOPPING, STOPPING_RETRY_MILLIS)
     if (rejectIfIsolated(pending)) return
     if (!isAdmitted(pending)) {
-        return rejectRequest(pending, RejectReason.OVERLOADED, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
+        return turnAwayOverloaded(pending, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
     request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + it) }
     requestHistoryAndBudget(pending)
@@ -53,10 +53,6 @@
 
 private fun ServingWork.slowdown(pending: PendingRequest): Double = parts.pace[pending.service.name]?.slowdown ?: 1.0
 
-/** A number between 0 and 1 that is the same for [subject] at all entry hosts. */
-private fun uniformHash(subject: String): Double =
-    Math.floorMod(mix(stableHash(subject)), UNIFORM_HASH_STEPS) / UNIFORM_HASH_STEPS.toDouble()
-
 /**
  * Retry delay of a program that is not admitted: about the time in which running programs end, spread over half a second so that
  * rejected callers don't all retry at once.
@@ -143,7 +139,7 @@
     when (val placement = choosePlacement(input)) {
         is Placement.Send -> sendToServer(pending, placement.server)
         is Placement.AskPermit -> requestPermit(pending, input, placement.servers, placement.maxWaitMillis)
-        Placement.Full -> rejectUnlessPossiblyRun(pending, RejectReason.OVERLOADED, fullRetryMillis(pending, candidates))
+        Placement.Full -> turnAwayOverloaded(pending, fullRetryMillis(pending, candidates), cause = "")
     }
 }
 
@@ -286,7 +282,7 @@
     putRequest(failed)
     when (decideRetry(failed.attemptHistory(event.outcome, failed.remainingMillis(nowMillis), settings))) {
         RetryDecision.SEND_AGAIN -> placeRequest(pending.key)
-        RetryDecision.REJECT -> rejectRequest(failed, RejectReason.OVERLOADED, overloadRetryMillis(failed), event.detail)
+        RetryDecision.REJECT -> turnAwayOverloaded(failed, overloadRetryMillis(failed), event.detail)
         RetryDecision.FAIL -> rejectRequest(failed, RejectReason.SERVER_FAILED, detail = event.detail)
         RetryDecision.BREAK_OFF -> abortResponse(failed, event.detail)
     }
@@ -311,6 +307,7 @@
     val next = mean + (durationMillis - mean) * settings.durationWeight
     parts = parts.copy(meanServiceDurationMillis = parts.meanServiceDurationMillis.put(service, next))
     recordUsualDuration(pending)
+    recordEndedForReturns(pending)
     settleReservation(pending)
     removeRequest(pending.key)
 }
@@ -374,8 +371,6 @@
         AttemptOutcome.UNREACHABLE, AttemptOutcome.WRONG_SERVER, AttemptOutcome.BROKEN -> withFailure(nowMillis, settings)
     }
 
-private const val UNIFORM_HASH_STEPS = 1_000_003L
-
 /** Running programs last one to three seconds, so capacity is freed continuously. */
 private const val ADMISSION_RETRY_MILLIS = 400L
 private const val ADMISSION_RETRY_JITTER_MILLIS = 500L
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -83,4 +83,6 @@
     val assumedEntryHosts: Int = 9,
     /** A request with less time left is not sent; a round trip and the shortest work take as long. */
     val minRemainingMillis: Long = 20,
+    /** Whether callers that are turned away under overload return in the order of what their programs have invested. */
+    val ordersReturns: Boolean = false,
 )
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -64,6 +64,8 @@
     val ownPacer: RequestPacer = RequestPacer(),
     /** How long the requests of each route usually take, by route name. */
     val usualDurations: PersistentMap<String, UsualDuration> = persistentHashMapOf(),
+    /** Callers that were turned away and requests that ended lately, by service; empty unless returns are ordered. */
+    val returnDemand: PersistentMap<String, ReturnDemand> = persistentHashMapOf(),
     /** Until when requests must be answered; null unless the process is about to stop. */
     val stopsAtMillis: Long? = null,
     val crashes: CrashRegister = CrashRegister(),
--- a/core/src/test/kotlin/lavendertrail/serving/ServingBench.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ServingBench.kt
@@ -6,6 +6,7 @@
 internal class ServingBench(
     isConfigured: Boolean = true,
     isStarting: Boolean = false,
+    settings: ServingSettings = ServingSettings(),
 ) {
     val config =
         ServingConfig(
@@ -24,7 +25,7 @@
             limits = CallerLimits(),
         )
     var nowMillis = 10_000L
-    var state = servingState(FailureDomain("a"))
+    var state = servingState(FailureDomain("a"), settings)
         private set
     var effects: List<ServingEffect> = emptyList()
         private set
