Take the quotas of client accounts out again

Cause: the part lets turn hosts elect the host that grants credit by majority votes. What has to be agreed goes through the platform's store, and the project keeps no consensus group of its own, so this doesn't fit the design, whatever it measures.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -12,10 +12,6 @@
     val isFirstTurn: Boolean = false,
     /** Null on public routes, and where the configuration has no accounts. */
     val account: ClientAccount? = null,
-    /** The lease of the credit that is reserved for the request; null if none is. */
-    val quotaLease: Long? = null,
-    /** Since when the request waits for credit; null if it doesn't. */
-    val quotaAskedAtMillis: Long? = null,
     val permit: Permit? = null,
     val permitRequests: Int = 0,
     /** When the outstanding permit was requested; null if none is outstanding or it has lapsed. */
@@ -44,9 +40,6 @@
 
     val serverId: String? get() = sentTo?.id
 
-    /** Attempts after the first one need no further credit. */
-    val isQuotaSpent: Boolean get() = sentTo != null
-
     fun remainingMillis(nowMillis: Long): Long = deadlineAtMillis - nowMillis
 }
 
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -36,7 +36,7 @@
         return turnAwayOverloaded(pending, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
     request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + pending.ownedId(it)) }
-    requestHistoryAndBudget(withQuota(pending) ?: return)
+    requestHistoryAndBudget(pending)
 }
 
 /** Whether the program has had a turn already, or its first turn is admitted. */
@@ -133,7 +133,7 @@
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
-    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin || known.quotaAskedAtMillis != null) return
+    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
@@ -174,7 +174,7 @@
     server: BackendServer,
     cause: PlacementCause? = null,
 ) {
-    if (rejectIfKeyLost(pending) || isHeldBack(pending) || !spendQuota(pending)) return
+    if (rejectIfKeyLost(pending) || isHeldBack(pending)) return
     updateServer(server.id) { it.withAttemptStarted(pending.request.promptParts, nowMillis) }
     putRequest(
         pending.copy(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -102,23 +102,6 @@
     val isChanged: Boolean,
 ) : ServingEffect
 
-/**
- * Reports [uses] to the turn host that grants credit of accounts, and asks it for credit; answered by [QuotasGranted]. [sequence]
- * orders the reports of the process.
- */
-public data class ReportQuotas(
-    val sequence: Long,
-    val sentAtMillis: Long,
-    val uses: List<QuotaUse>,
-    /** Requests that have used credit since the start of the process. */
-    val spentRequests: Long = 0,
-) : ServingEffect
-
-/** Logs that requests of [account] are refused because of its limit; emitted at intervals. */
-public data class LogQuotaReached(
-    val account: ClientAccount,
-) : ServingEffect
-
 /** Reports [evidence] about requests that may crash servers to the other entry hosts, through all turn hosts or that at [address]. */
 public data class ReportCrashEvidence(
     val evidence: List<CrashEvidence>,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -108,14 +108,6 @@
     val entryHostCount: Int? = null,
 ) : ServingEvent
 
-/** Answers [ReportQuotas]. [grants] is null if no turn host that grants credit has answered in time; what it may have granted is void. */
-public data class QuotasGranted(
-    val sequence: Long,
-    val sentAtMillis: Long,
-    val uses: List<QuotaUse>,
-    val grants: List<QuotaGrant>?,
-) : ServingEvent
-
 /** Other entry hosts have learnt [limits] from answers of servers. */
 public data class RequestLimitsLearnt(
     val limits: List<StatedLimit>,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -34,7 +34,6 @@
         is ServerLeavingSeen -> work.markLeaving(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
         is PermitDecided -> work.handlePermitDecided(event)
-        is QuotasGranted -> work.handleQuotasGranted(event)
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
         is CrashReportsKnown -> work.recordCrashReportsKnown(event.areKnown)
@@ -42,7 +41,6 @@
         ProcessPaused -> {
             work.distrustKeys()
             work.dropPermits()
-            work.dropQuotas()
         }
         is CallerDisconnected -> work.handleCallerDisconnected(event)
         is StopAnnounced -> work.announceStop(event)
@@ -69,5 +67,4 @@
         .forEach { timeOutRequest(it) }
     endRequestsAtStop()
     usePermits()
-    updateQuotas()
 }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -93,7 +93,6 @@
     val crashReportDelayMillis: Long = 300,
     /** Number of entry hosts among which limits are divided while no pacer has told it; today's number of hosts of one owner. */
     val assumedEntryHosts: Int = 9,
-    val quota: QuotaSettings = QuotaSettings(),
     /** A request with less time left is not sent; a round trip and the shortest work take as long. */
     val minRemainingMillis: Long = 20,
     /** Whether callers that are turned away under overload return in the order of what their programs have invested. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -26,10 +26,6 @@
                 for ((id, server) in parts.servers) server.requestLimit?.let { put(id, it.requestsPerSecond) }
             }
 
-    /** Credit of accounts with a limit, by account. */
-    public val quotaLevels: Map<String, QuotaLevel>
-        get() = parts.quotas.accounts.mapValues { (_, held) -> QuotaLevel(held.heldRequests, held.waiting.size, held.leftRequests) }
-
     /** Why a request that was placed at [server] must not be written to it any more; null if it may. */
     public fun withdrawal(server: BackendServer): ServerWithdrawal? = parts.withdrawal(server)
 
@@ -95,8 +91,6 @@
     val crashes: CrashRegister = CrashRegister(),
     /** Whether this process has asked the turn hosts for the reports of other entry hosts; true while it knows no turn hosts. */
     val areCrashReportsKnown: Boolean = true,
-    /** Credit of accounts with a limit. */
-    val quotas: HeldQuotas = HeldQuotas(),
     val recentAnswers: RecentAnswers = RecentAnswers(settings.maxRememberedAnswers),
     val startedPrograms: RecentPrograms = RecentPrograms(settings.maxRememberedPrograms),
 )
--- a/core/src/main/kotlin/lavendertrail/serving/ServingWork.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingWork.kt
@@ -19,9 +19,7 @@
     }
 
     fun removeRequest(key: RequestKey) {
-        val pending = parts.requests[key] ?: return
         parts = parts.copy(requests = parts.requests.remove(key))
-        releaseQuota(pending)
     }
 
     fun updateServer(
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -19,11 +19,9 @@
 import lavendertrail.serving.CloseServerConnections
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
-import lavendertrail.serving.LogQuotaReached
 import lavendertrail.serving.Reject
 import lavendertrail.serving.ReportCrashEvidence
 import lavendertrail.serving.ReportLeavingServer
-import lavendertrail.serving.ReportQuotas
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestKey
 import lavendertrail.serving.RequestPermit
@@ -66,8 +64,6 @@
             is Reject -> exchanges[effect.key]?.let { reject(it, effect) }
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
             is RequestPermit -> turnEffects.requestPermit(effect)
-            is ReportQuotas -> turnEffects.reportQuotas(effect)
-            is LogQuotaReached -> turnEffects.logQuotaReached(effect)
             is ReportRequestLimit -> turnEffects.reportRequestLimit(effect)
             is ReportCrashEvidence -> turnEffects.reportCrashEvidence(effect)
             is ReportLeavingServer -> reportLeavingServer(effect)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -212,7 +212,6 @@
             accounts = state.accountCount,
             areKeysTrusted = state.areKeysTrusted(nowMillis()),
             rejections = metrics.rejectionCounts(),
-            quotas = state.quotaLevels,
         )
 
     /**
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayDump.kt
@@ -1,7 +1,6 @@
 package lavendertrail.gateway
 
 import kotlinx.serialization.Serializable
-import lavendertrail.serving.QuotaLevel
 
 /** State of a gateway process, served to operators as JSON. */
 @Serializable
@@ -26,6 +25,4 @@
     val areKeysTrusted: Boolean,
     /** Requests that lavendertrail has rejected since the start, by reason. */
     val rejections: Map<String, Long>,
-    /** Credit of accounts with a limit that this host has requests of, by account. */
-    val quotas: Map<String, QuotaLevel> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -1,14 +1,12 @@
 package lavendertrail.gateway
 
 import io.micrometer.core.instrument.Counter
-import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import lavendertrail.serving.AttemptOutcome
 import lavendertrail.serving.PermitDecision
 import lavendertrail.serving.PlacementReason
-import lavendertrail.serving.QuotaGrant
 import lavendertrail.serving.RejectReason
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -24,10 +22,6 @@
         PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
     private val placements: Map<PlacementReason, Counter> =
         PlacementReason.entries.associateWith { registry.counter("lavendertrail_placements", "reason", it.name.lowercase()) }
-    private val quotaGranted: Counter = registry.counter("lavendertrail_quota_granted")
-    private val quotaUnanswered: Counter = registry.counter("lavendertrail_quota_unanswered")
-    private val quotaSpent = AtomicLong()
-    private val quotaCalls = AtomicLong()
     private val storeWatchEnds: Counter = registry.counter("lavendertrail_store_watch_ends")
     private val storeHeardAtMillis = AtomicLong(nowMillis())
     private val accounts = AtomicLong()
@@ -43,8 +37,6 @@
         Timer.builder("lavendertrail_turn_save").serviceLevelObjectives(*LATENCY_BUCKETS).register(registry)
 
     init {
-        FunctionCounter.builder("lavendertrail_quota_spent", quotaSpent) { it.get().toDouble() }.register(registry)
-        FunctionCounter.builder("lavendertrail_quota_calls", quotaCalls) { it.get().toDouble() }.register(registry)
         // The age of what is known of the platform's store, in seconds.
         registry.gauge("lavendertrail_store_silence_seconds", storeHeardAtMillis) { (nowMillis() - it.get()) / MILLIS_PER_SECOND }
         registry.gauge("lavendertrail_accounts", accounts)
@@ -97,20 +89,6 @@
         permits.getValue(outcome).increment()
     }
 
-    /**
-     * Records a report to the granter of accounts' credit: the requests that have used credit and the calls, both since the start of the
-     * process, and what was granted; null if no turn host grants.
-     */
-    public fun recordQuotas(
-        spentRequests: Long,
-        calls: Long,
-        grants: List<QuotaGrant>?,
-    ) {
-        quotaSpent.set(spentRequests)
-        quotaCalls.set(calls)
-        if (grants == null) quotaUnanswered.increment() else quotaGranted.increment(grants.sumOf { it.grantedRequests }.toDouble())
-    }
-
     private enum class PermitOutcome { GRANTED, DENIED, NO_REPLY }
 
     /** Records a complete response, [millis] after the request's arrival. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -5,11 +5,8 @@
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
-import lavendertrail.serving.LogQuotaReached
 import lavendertrail.serving.PermitDecided
-import lavendertrail.serving.QuotasGranted
 import lavendertrail.serving.ReportCrashEvidence
-import lavendertrail.serving.ReportQuotas
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
 import lavendertrail.serving.ReserveTokens
@@ -21,7 +18,6 @@
 import lavendertrail.serving.TokensReserved
 import lavendertrail.serving.accountOwnedId
 import lavendertrail.turns.OriginRecord
-import lavendertrail.turns.QuotaCalls
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
 import lavendertrail.turns.loadChain
@@ -41,8 +37,6 @@
     private val metrics: GatewayMetrics,
     private val submit: (ServingEvent) -> Unit,
 ) {
-    private val quotaCalls = QuotaCalls(turnClient, ::logGranter)
-
     fun loadHistory(effect: LoadHistory) {
         val startedMillis = nowMillis()
         turnClient.loadChain(effect.turnId, effect.programId, effect.timeoutMillis) { result, chain ->
@@ -94,24 +88,6 @@
         }
     }
 
-    fun reportQuotas(effect: ReportQuotas) {
-        quotaCalls.report(effect.sequence, effect.uses) { decision ->
-            metrics.recordQuotas(effect.spentRequests, quotaCalls.callCount, decision?.grants)
-            loop.execute { submit(QuotasGranted(effect.sequence, effect.sentAtMillis, effect.uses, decision?.grants)) }
-        }
-    }
-
-    fun logQuotaReached(effect: LogQuotaReached) {
-        log.event("account limit reached") {
-            put("account", effect.account.name)
-            effect.account.requestsPerSecond?.let { put("requestsPerSecond", it) }
-        }
-    }
-
-    private fun logGranter(granter: String?) {
-        log.event(if (granter == null) "quota granter lost" else "quota granter found") { granter?.let { put("host", it) } }
-    }
-
     fun reportRequestLimit(effect: ReportRequestLimit) {
         val rate = effect.requestsPerSecond
         turnClient.reportLimit(StatedLimit(effect.serverId, rate))
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -6,8 +6,6 @@
 import lavendertrail.serving.CrashEvidence
 import lavendertrail.serving.PermitCandidate
 import lavendertrail.serving.PermitDecision
-import lavendertrail.serving.QuotaGrant
-import lavendertrail.serving.QuotaUse
 import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.StreamOrigin
 
@@ -92,33 +90,6 @@
     val entryHostCount: Int,
 )
 
-/** Reports what the run [holder] of an entry host has spent, and asks for credit. */
-@Serializable
-internal data class QuotaRequest(
-    val holder: String,
-    val sequence: Long,
-    val uses: List<QuotaUse>,
-)
-
-/** [grants] is null from a host that doesn't grant; [granter] names the one that does, as far as the host knows. */
-@Serializable
-internal data class QuotaReply(
-    val grants: List<QuotaGrant>?,
-    val granter: String?,
-)
-
-/** Asks for the host's vote for [candidate], which knows the list of turn hosts with [listRevision]. */
-@Serializable
-internal data class QuotaVoteRequest(
-    val candidate: String,
-    val listRevision: Long,
-)
-
-@Serializable
-internal data class QuotaVoteReply(
-    val isGiven: Boolean,
-)
-
 /** Requests the records of the host from position [after] on. */
 @Serializable
 internal data class CopyRequest(
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -25,12 +25,11 @@
     knownHosts: KnownHosts,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNoticeFile: CrashNoticeFile,
-    quotas: AccountQuotas,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server {
     val sessions = OpenSessions()
-    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis), quotas)
+    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis))
     return startCallServer(handlers, address, loop, ListFence(FENCED_METHODS) { knownHosts.listing }, sessions)
 }
 
@@ -85,7 +84,6 @@
     repository: TurnRepository,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
-    quotas: AccountQuotas,
 ): Map<String, CallHandler> {
     val runId = UUID.randomUUID().toString()
     val entryHosts = EntryHosts(::nowMillis)
@@ -105,8 +103,6 @@
             crashNotices.report(request.crashEvidence)
             reply(permits.decide(request, entryHosts.count()))
         },
-        callHandler(TurnMethods.quota) { request, reply -> reply(quotas.decide(request)) },
-        callHandler(TurnMethods.quotaVote) { request, reply -> reply(quotas.vote(request)) },
         callHandler(TurnMethods.fetch) { request, reply -> reply(repository.fetchTurns(request)) },
         callHandler(TurnMethods.listState) { request, reply -> reply(onListState(request)) },
         callHandler(TurnMethods.missing) { request, reply -> reply(repository.findMissing(request)) },
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -44,7 +44,6 @@
     private val copier = TurnCopier(ownHost, repository, group)
     private val repair = RecordRepair(ownHost, repository, group, settings.diskTolerance, log)
     private val listChanges = ListChanges(ownHost, knownHosts, group, log)
-    private val quotas = AccountQuotas(settings.nodeName, group, log) { knownHosts.listing }
     private var server: Server? = null
 
     /** Signals the repair thread that a newer list of hosts is known. */
@@ -73,12 +72,10 @@
                 knownHosts,
                 ::exchangeListState,
                 crashNoticeFile,
-                quotas,
                 socketAddress(settings.address),
                 group,
             )
         loop.scheduleAtFixedRate({ repository.removeExpired() }, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-        quotas.start()
         watcher.start()
         thread(name = "turn-store", isDaemon = true) { maintain() }
         thread(name = "turn-repair", isDaemon = true) { repairAfterChanges() }
@@ -227,7 +224,6 @@
     /** Ends calls in progress and writes accepted records to disk, as far as the process has time for it. */
     internal fun close() {
         isStopping = true
-        loop.execute { quotas.close() }
         server?.shutdown()?.awaitTermination(SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         repository.close()
     }
