Drop the reason of rejection that nothing gives, and say that limits of accounts aren't enforced

Cause: without the quotas nothing rejects with QUOTA_EXCEEDED, and ClientAccount reads as if its limit held.

--- a/core/src/main/kotlin/lavendertrail/serving/ClientAccount.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ClientAccount.kt
@@ -3,8 +3,9 @@
 /**
  * A client account, which callers name by a key.
  *
- * [priority] goes before the priority of the route; null if the account has none. [requestsPerSecond] and [burstRequests] limit what
- * reaches servers through all entry hosts together; [requestsPerSecond] is null where the account has no limit.
+ * [priority] goes before the priority of the route; null if the account has none. [requestsPerSecond] and [burstRequests] are the
+ * limit that the configuration states for all entry hosts together; [requestsPerSecond] is null where it states none. Nothing enforces
+ * the limit yet.
  */
 public data class ClientAccount(
     val name: String,
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -14,9 +14,6 @@
 
     /** The accounts may have changed without this host having heard of it. */
     KEY_UNCERTAIN(isNotRun = true),
-
-    /** The account has used its limit. */
-    QUOTA_EXCEEDED(isNotRun = true),
     UNKNOWN_TURN(isNotRun = true),
     TURN_UNCERTAIN(isNotRun = true),
     BUDGET_SPENT(isNotRun = true),
