--- a/review/9/LongStreams.java
+++ b/review/8/LongStreams.java
@@ -1,4 +1,4 @@
-package case9;
+package case8;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/review/8/LongStreamsAtStop.java
+++ b/review/9/LongStreamsAtStop.java
@@ -1,4 +1,4 @@
-package case8;
+package case9;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
