A planned stop passes on only what ends before it by its own deadline

Cause: a late request was taken if requests of its route usually ended in time, by the mean and four mean deviations of their durations. Where few requests are long, these exceed that by far. Requests that waited when the signal came, and those that a server had refused, were not checked at all.

"no stream that is passed on during a stop is cut" (PlannedStopTest, gateway) failed on: a stream was cut after its first bytes.

Change: the request's own deadline decides, when it arrives, for all that wait as the stop is announced, before each further attempt, and when the connection to the server is ready. What is refused is refused at once as not run, so that its caller reaches another entry host. The estimate and its state are gone.

Tests: two tests of the estimate are replaced, since they asserted that a request with a deadline of 4 s is passed on 3.3 s before the end if others were short, which is the fault. The test of a request that waits for the first configuration asserts the refusal at the announcement now, not at the end.

--- a/core/src/main/kotlin/lavendertrail/serving/PlannedStop.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PlannedStop.kt
@@ -1,37 +1,40 @@
 package lavendertrail.serving
 
 /*
- * A planned stop of the process. Requests under way go on until shortly before its end. A new one is taken only if requests of its
- * route usually end in time; otherwise it is refused as not run, and its caller reaches another entry host over a new connection.
- * What is still under way at the end gets a final answer.
+ * A planned stop of the process. A request is passed on to a server only if its own deadline ends it before the stop does: what has
+ * begun by then is answered whole, however long it takes. All others are refused as not run, and their callers reach another entry
+ * host over a new connection. Requests that were sent before the stop was announced go on until shortly before its end.
  */
 
 internal fun ServingWork.announceStop(event: StopAnnounced) {
-    if (parts.stopsAtMillis == null) parts = parts.copy(stopsAtMillis = event.endsAtMillis)
+    if (parts.stopsAtMillis != null) return
+    parts = parts.copy(stopsAtMillis = event.endsAtMillis)
+    rejectEarlyRequests()
+    parts.requests.values
+        .filter { it.stage == PendingRequest.Stage.PREPARING && parts.outlastsStop(it) }
+        .forEach { rejectAtStop(it) }
 }
 
-/** Whether [pending] would end before a planned stop. Until a request of the route has been answered, only its deadline is known. */
-internal fun ServingWork.endsBeforeStop(pending: PendingRequest): Boolean {
-    val stopsAtMillis = parts.stopsAtMillis ?: return true
-    val remainingMillis = pending.remainingMillis(nowMillis)
-    val usualMillis = parts.usualDurations[pending.route.name]?.longMillis ?: remainingMillis
-    return nowMillis + minOf(usualMillis, remainingMillis) < stopsAtMillis
-}
+/**
+ * Whether [pending] must not be sent to a server any more. A request that may have run, or whose answer has begun, goes on: its caller
+ * can't be told that it has not run.
+ */
+internal fun ServingParts.outlastsStop(pending: PendingRequest): Boolean =
+    stopsAtMillis != null && pending.possiblyRunAttempts == 0 && pending.deadlineAtMillis >= stopsAtMillis
 
-internal fun ServingWork.recordUsualDuration(pending: PendingRequest) {
-    val millis = (nowMillis - pending.arrivedMillis).toDouble()
-    val route = pending.route.name
-    val next = parts.usualDurations[route]?.observe(millis, settings.durationWeight) ?: UsualDuration.ofFirst(millis)
-    parts = parts.copy(usualDurations = parts.usualDurations.put(route, next))
-}
+internal fun ServingWork.rejectAtStop(pending: PendingRequest) = rejectRequest(pending, RejectReason.STOPPING, STOPPING_RETRY_MILLIS)
 
 /** Answers all requests once the process is about to end: as not run, or as failed if a server may have begun to run them. */
 internal fun ServingWork.endRequestsAtStop() {
     val stopsAtMillis = parts.stopsAtMillis ?: return
     if (nowMillis < stopsAtMillis) return
+    rejectEarlyRequests()
+    parts.requests.values.forEach { endRequestAtStop(it) }
+}
+
+private fun ServingWork.rejectEarlyRequests() {
     for (early in parts.earlyRequests) emit(Reject(early.key, RejectReason.STOPPING, STOPPING_RETRY_MILLIS))
     parts = parts.copy(earlyRequests = parts.earlyRequests.clear())
-    parts.requests.values.forEach { endRequestAtStop(it) }
 }
 
 private fun ServingWork.endRequestAtStop(pending: PendingRequest) {
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -31,7 +31,7 @@
     CRASHES_SERVERS(isNotRun = true),
     DEADLINE_PASSED(isNotRun = true),
 
-    /** The process stops before the request would usually end. */
+    /** The process stops before the request must have ended. */
     STOPPING(isNotRun = true),
     SERVER_FAILED(isNotRun = false),
     TIMED_OUT(isNotRun = false),
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -30,7 +30,7 @@
             .let { it.copy(isFirstTurn = isFirstTurn(it)) }
     putRequest(pending)
     if (pending.remainingMillis(nowMillis) < settings.minRemainingMillis) return rejectRequest(pending, RejectReason.DEADLINE_PASSED)
-    if (!endsBeforeStop(pending)) return rejectRequest(pending, RejectReason.STOPPING, STOPPING_RETRY_MILLIS)
+    if (parts.outlastsStop(pending)) return rejectAtStop(pending)
     if (rejectIfIsolated(pending)) return
     if (!isAdmitted(pending)) {
         return turnAwayOverloaded(pending, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
@@ -134,6 +134,7 @@
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
     if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
+    if (parts.outlastsStop(known)) return rejectAtStop(known)
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
     val remainingMillis = pending.remainingMillis(nowMillis)
@@ -317,7 +318,6 @@
     val mean = parts.meanServiceDurationMillis[service] ?: durationMillis
     val next = mean + (durationMillis - mean) * settings.durationWeight
     parts = parts.copy(meanServiceDurationMillis = parts.meanServiceDurationMillis.put(service, next))
-    recordUsualDuration(pending)
     recordEndedForReturns(pending)
     settleReservation(pending)
     removeRequest(pending.key)
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -35,6 +35,9 @@
         nowMillis: Long,
     ): Boolean = parts.requests[key]?.let { parts.keyProblem(it, nowMillis) } == null
 
+    /** Whether the request [key], which was placed at a server, may still be written to it as far as a planned stop is concerned. */
+    public fun mayBeginBeforeStop(key: RequestKey): Boolean = parts.requests[key]?.let { parts.outlastsStop(it) } != true
+
     /** Number of client accounts; null where callers need no key. */
     public val accountCount: Int? get() =
         parts.config
@@ -82,8 +85,6 @@
     val entryHostCount: Int = settings.assumedEntryHosts,
     /** Paces this host's own requests while no shared pacer can be reached. */
     val ownPacer: RequestPacer = RequestPacer(),
-    /** How long the requests of each route usually take, by route name. */
-    val usualDurations: PersistentMap<String, UsualDuration> = persistentHashMapOf(),
     /** Callers that were turned away and requests that ended lately, by service; empty unless returns are ordered. */
     val returnDemand: PersistentMap<String, ReturnDemand> = persistentHashMapOf(),
     /** Until when requests must be answered; null unless the process is about to stop. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -163,6 +163,7 @@
         return when {
             withdrawal != null -> "server ${withdrawal.name.lowercase()}"
             !state.isKeyInForce(key, nowMillis()) -> "key not in force"
+            !state.mayBeginBeforeStop(key) -> "the process stops"
             else -> null
         }
     }
