Streams can be resumed as long as their callers wait for them

Cause: the origin of a stream was stored once, with its first event, for 30 s, whatever the route's timeout. The same fixed times were used for the token uses of programs (120 s, whatever `retainS`) and for trials of requests that crash servers (40 s, whatever the timeouts). A turn host that got an origin again dropped it with the first record's expiry.

Change: each time follows from the request's deadline and from the configuration under which it is stored; origins are stored again while the stream goes on, also by entry hosts that resume it, and after a failed attempt to store them. Turn hosts keep the longer of two records and drop records in the order of expiry, not of arrival.

ResumeFlowTest asserted that a resumed stream stores no origin; it now asserts that it renews that of the attempt that began it, without which a stream that is resumed twice is lost again.

--- a/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashFlow.kt
@@ -15,7 +15,7 @@
     val senderId = pending.request.senderId
     val crashCount = record.lossesAgainst(senderId).size
     if (crashCount < settings.crashesBeforeIsolation - 1) return false
-    val isolatedUntilMillis = record.isolatedUntilMillis(senderId, settings)
+    val isolatedUntilMillis = isolatedUntilMillis(record, senderId)
     val waitMillis =
         when {
             isolatedUntilMillis == null && !isSentMeanwhile(pending, fingerprint, record) -> return false
@@ -35,12 +35,17 @@
 internal fun ServingWork.rejectIfIsolated(pending: PendingRequest): Boolean {
     val record = pending.request.fingerprint?.let { parts.crashes[it] } ?: return false
     val senderId = pending.request.senderId
-    val waitMillis = (record.isolatedUntilMillis(senderId, settings) ?: return false) - nowMillis
+    val waitMillis = (isolatedUntilMillis(record, senderId) ?: return false) - nowMillis
     if (waitMillis <= 0) return false
     rejectRequest(pending, RejectReason.CRASHES_SERVERS, waitMillis, "${record.lossesAgainst(senderId).size} crashes")
     return true
 }
 
+private fun ServingWork.isolatedUntilMillis(
+    record: CrashRecord,
+    senderId: String,
+): Long? = record.isolatedUntilMillis(senderId, settings, parts.config?.longestTimeoutMillis ?: 0)
+
 /** Whether the request is at a server for another attempt, of the same sender where others are answered. */
 private fun ServingWork.isSentMeanwhile(
     pending: PendingRequest,
--- a/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
@@ -53,18 +53,19 @@
 
     /**
      * Until when requests of [senderId] with the fingerprint are refused; null if too few crashes are counted. Each trial that crashed
-     * a server prolongs the time; one that no server ran doesn't.
+     * a server prolongs the time; one that no server ran doesn't. A trial may go on for [longestTimeoutMillis].
      */
     fun isolatedUntilMillis(
         senderId: String,
         settings: ServingSettings,
+        longestTimeoutMillis: Long,
     ): Long? {
         val counted = lossesAgainst(senderId)
         val failedTrials = counted.size - settings.crashesBeforeIsolation
         if (failedTrials < 0) return null
         val lastLossMillis = counted.last().endedAtMillis
         val pendingTrialMillis = trialsAtMillis.values.filter { it > lastLossMillis }.maxOrNull()
-        if (pendingTrialMillis != null) return pendingTrialMillis + settings.pendingCrashTrialMillis
+        if (pendingTrialMillis != null) return pendingTrialMillis + maxOf(settings.pendingCrashTrialMillis, longestTimeoutMillis)
         return lastLossMillis + settings.crashTrialDelaysMillis.getOrElse(failedTrials) { settings.crashRecordRetentionMillis }
     }
 
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -95,7 +95,7 @@
     if (history == null && reservation == null && origin == null) placeRequest(pending.key)
 }
 
-private fun tokenReservation(
+private fun ServingWork.tokenReservation(
     pending: PendingRequest,
     timeoutMillis: Long,
 ): ReserveTokens? {
@@ -103,7 +103,16 @@
     val program = request.programId?.let(pending::ownedId) ?: return null
     val budgetTokens = request.tokenBudget ?: return null
     if (pending.route.kind != RequestKind.STREAM) return null
-    return ReserveTokens(pending.key, program, request.sessionId, request.attemptId, request.maxOutputTokens, budgetTokens, timeoutMillis)
+    return ReserveTokens(
+        key = pending.key,
+        programId = program,
+        sessionId = request.sessionId,
+        attemptId = request.attemptId,
+        tokens = request.maxOutputTokens,
+        budgetTokens = budgetTokens,
+        timeoutMillis = timeoutMillis,
+        retentionMillis = useRetentionMillis(pending),
+    )
 }
 
 internal fun ServingWork.handleHistoryLoaded(event: HistoryLoaded) {
@@ -193,7 +202,7 @@
             resumeAfterEventId = pending.resumeAfterEventId,
             isStream = pending.route.kind == RequestKind.STREAM,
             turnRetentionMillis = pending.route.turnRetentionMillis,
-            originRetentionMillis = settings.streamOriginRetentionMillis.takeIf { pending.route.isResumable && !pending.isResume },
+            originLease = originLease(pending),
             accountName = pending.account?.name,
             hidesAccountKey = parts.config?.accounts != null || pending.account != null,
             cause = cause,
@@ -368,7 +377,17 @@
     if (!pending.isReserved && !pending.awaitsBudget) return
     val request = pending.request
     val tokensPerEvent = pending.service.engine?.tokensPerEvent ?: 1
-    emit(SettleTokens(pending.key, program, request.sessionId, request.attemptId, tokensPerEvent, pending.serverId))
+    emit(
+        SettleTokens(
+            key = pending.key,
+            programId = program,
+            sessionId = request.sessionId,
+            attemptId = request.attemptId,
+            tokensPerEvent = tokensPerEvent,
+            retentionMillis = useRetentionMillis(pending),
+            serverId = pending.serverId,
+        ),
+    )
 }
 
 private fun ServerState.afterAttempt(
--- a/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingConfig.kt
@@ -18,6 +18,12 @@
         (routes.map { it.priority } + accounts?.accounts.orEmpty().mapNotNull { it.priority }).minOrNull()
     }
 
+    /** The longest time for which a finished turn can be continued; zero if no route keeps turns. */
+    internal val longestTurnRetentionMillis: Long by lazy { routes.maxOfOrNull { it.turnRetentionMillis ?: 0 } ?: 0 }
+
+    /** The longest time that a request may take; zero without routes. */
+    internal val longestTimeoutMillis: Long by lazy { routes.maxOfOrNull { it.timeoutMillis } ?: 0 }
+
     /** The route of [path] on [host], which may carry a port, or null where none matches. */
     public fun route(
         host: String,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -18,7 +18,7 @@
     val timeoutMillis: Long,
 ) : ServingEffect
 
-/** Reserves [tokens] in the program's [budgetTokens]; answered by [TokensReserved]. */
+/** Reserves [tokens] in the program's [budgetTokens] for [retentionMillis] at most; answered by [TokensReserved]. */
 public data class ReserveTokens(
     val key: RequestKey,
     val programId: String,
@@ -27,23 +27,25 @@
     val tokens: Int,
     val budgetTokens: Int,
     val timeoutMillis: Long,
+    val retentionMillis: Long,
 ) : ServingEffect
 
-/** Replaces a reservation by the tokens of the events that have reached the caller. */
+/** Replaces a reservation by the tokens of the events that have reached the caller, which count for [retentionMillis]. */
 public data class SettleTokens(
     val key: RequestKey,
     val programId: String,
     val sessionId: String?,
     val attemptId: String,
     val tokensPerEvent: Int,
+    val retentionMillis: Long,
     /** The server that generated the tokens, where it has cached the whole prompt. */
     val serverId: String?,
 ) : ServingEffect
 
 /**
  * Sends the request to [server]; answered by [AnswerStarted] and [AttemptEnded]. A complete streamed answer is stored as a turn
- * for [turnRetentionMillis], where that is set. The stream's origin is stored with its first event for [originRetentionMillis],
- * where that is set.
+ * for [turnRetentionMillis], where that is set. The stream's origin is stored with its first event, and again while it goes on, as
+ * [originLease] says, where that is set.
  */
 public data class SendToServer(
     val key: RequestKey,
@@ -52,7 +54,7 @@
     val resumeAfterEventId: String?,
     val isStream: Boolean,
     val turnRetentionMillis: Long?,
-    val originRetentionMillis: Long? = null,
+    val originLease: OriginLease? = null,
     /** The caller's client account, which the server is told; null on public routes and where there are no accounts. */
     val accountName: String? = null,
     /** Whether neither the caller's key nor the account that it states may reach the server. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -60,8 +60,12 @@
     val maxRememberedAnswers: Int = 4_096,
     /** Prompt parts remembered for each server. */
     val maxCachedParts: Int = 512,
-    /** How long the origin of a stream is kept after its first event; several times the deadline within which a caller resumes it. */
+    /** How long the origin of a stream is kept beyond the time for which its caller waits for the stream and for its next event. */
     val streamOriginRetentionMillis: Long = 30_000,
+    /** Longest wait of a caller for which an origin is stored in advance; the origin of a longer stream is stored again while it goes on. */
+    val maxOriginWaitMillis: Long = 600_000,
+    /** Shortest time for which a program's token use is kept; it is longer where the configuration keeps turns for longer. */
+    val minUseRetentionMillis: Long = 120_000,
     /** How long a request of a running program may wait for a permit of a server with a request limit. */
     val permitWaitMillis: Long = 1_000,
     /** How long the first turn of a program may wait for a permit; about the target latency of a turn. */
@@ -81,7 +85,7 @@
      * so that after the last one the request is refused for as long as the evidence is kept.
      */
     val crashTrialDelaysMillis: List<Long> = listOf(20_000, 40_000, 3_600_000),
-    /** How long a request is refused after a trial whose outcome isn't known; longer than the deadline of a request. */
+    /** How long, at least, a request is refused after a trial whose outcome isn't known; the longest timeout of a route if that is longer. */
     val pendingCrashTrialMillis: Long = 40_000,
     /** How long evidence of crashes is kept without news. */
     val crashRecordRetentionMillis: Long = 86_400_000,
--- a/core/src/test/kotlin/lavendertrail/serving/ResumeFlowTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ResumeFlowTest.kt
@@ -3,8 +3,6 @@
 import lavendertrail.model.FailureDomain
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertNotNull
-import kotlin.test.assertNull
 
 /** Guards against streams that go on at a server of another software version than the one that began them. */
 class ResumeFlowTest {
@@ -42,7 +40,7 @@
             load(key, StreamOrigin("engines", "v2"))
             val sent = bench.singleEffect<SendToServer>()
             assertEquals("new-1", sent.server.id)
-            assertNull(sent.originRetentionMillis)
+            assertEquals("first", sent.originLease?.attemptId)
         }
     }
 
@@ -60,7 +58,7 @@
     fun `a stream that breaks within an answer goes on at the same version or is broken off`() {
         bench.arrive(1, newStream("first"))
         val first = bench.singleEffect<SendToServer>()
-        assertNotNull(first.originRetentionMillis)
+        assertEquals("first", first.originLease?.attemptId)
         val others = listOf("old-1", "old-2", "new-1").filter { it != first.server.id }
         bench.apply(AttemptEnded(1, AttemptOutcome.BROKEN, lastEventId = "2", isAnswerStarted = true))
         if (first.server.softwareVersion == "v2") {
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -34,6 +34,9 @@
     var lastEventId: String? = null
     var isResponseStarted = false
 
+    /** When the origin of the stream is stored again, with the next event. */
+    var storeOriginAtMillis = Long.MIN_VALUE
+
     /** Data of the forwarded events, each followed by a line feed; stored as the output of the turn. */
     val output = ByteArrayOutputStream()
     var firstEventAtMillis: Long? = null
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -88,7 +88,7 @@
         )
     private val pool =
         ServerPool(ServerConnector(loop, settings.serverConnectMillis, ReceiveBudget(settings.receiveBudgetBytes)), ::nowMillis)
-    private val turnEffects = TurnEffects(settings, loop, turnClient, exchanges, log, metrics, ::submit)
+    private val turnEffects = TurnEffects(loop, turnClient, exchanges, log, metrics, ::submit)
     private val effectRunner =
         EffectRunner(
             protocol,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewaySettings.kt
@@ -21,6 +21,4 @@
     val turnCacheBytes: Long = 8_000_000,
     /** Memory for all responses of servers that are being read; many times what valid ones need. */
     val receiveBudgetBytes: Long = defaultReceiveBudgetBytes(),
-    /** How long a program's token use is kept after its last turn; equals the longest retention of turns. */
-    val budgetRetentionMillis: Long = 120_000,
 )
--- a/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import lavendertrail.serving.OriginLease
 import lavendertrail.serving.streamOrigin
 
 /**
@@ -54,8 +55,8 @@
             exchange.firstEventAtMillis = nowMillis()
             val head = attempt.response ?: return
             exchange.connection.startResponse(DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), endToEndHeaders(head.headers())))
-            attempt.effect.originRetentionMillis?.let { turnEffects.storeStreamOrigin(exchange, attempt.effect.server.streamOrigin, it) }
         }
+        attempt.effect.originLease?.let { keepOrigin(exchange, attempt, it) }
         attempt.recordEvent(nowMillis())
         exchange.connection.writeChunk(event.bytes)
         exchange.lastEventId = event.id ?: exchange.lastEventId
@@ -64,4 +65,25 @@
             if (attempt.effect.turnRetentionMillis != null) exchange.addOutput(event.data)
         }
     }
+
+    /**
+     * Stores the origin of the stream with its first event, and again once half of the time has passed for which it is kept. An origin
+     * that could not be stored is stored with a later event, so that an outage of the turn hosts leaves no stream without one.
+     */
+    private fun keepOrigin(
+        exchange: Exchange,
+        attempt: ServerAttempt,
+        lease: OriginLease,
+    ) {
+        if (nowMillis() < exchange.storeOriginAtMillis) return
+        exchange.storeOriginAtMillis = nowMillis() + lease.retentionMillis / 2
+        turnEffects.storeStreamOrigin(attempt.effect.server.streamOrigin, lease) { isStored ->
+            if (!isStored) exchange.storeOriginAtMillis = nowMillis() + ORIGIN_RETRY_MILLIS
+        }
+    }
+
+    private companion object {
+        /** About the time in which a lost turn host is known as lost. */
+        const val ORIGIN_RETRY_MILLIS = 1_000L
+    }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -5,6 +5,7 @@
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
+import lavendertrail.serving.OriginLease
 import lavendertrail.serving.PermitDecided
 import lavendertrail.serving.ReportCrashEvidence
 import lavendertrail.serving.ReportRequestLimit
@@ -16,7 +17,6 @@
 import lavendertrail.serving.StreamOrigin
 import lavendertrail.serving.StreamOriginLoaded
 import lavendertrail.serving.TokensReserved
-import lavendertrail.serving.accountOwnedId
 import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
@@ -29,7 +29,6 @@
 
 /** Executes the effects of the serving reducer that call turn hosts, and submits their results as events. */
 internal class TurnEffects(
-    private val settings: GatewaySettings,
     private val loop: EventLoop,
     private val turnClient: TurnClient,
     private val exchanges: Map<Long, Exchange>,
@@ -53,18 +52,25 @@
         }
     }
 
-    /** Stores which servers have sent the first event of the stream to the caller. */
+    /** Stores which servers have sent the events of the stream to the caller. */
     fun storeStreamOrigin(
-        exchange: Exchange,
         origin: StreamOrigin,
-        retentionMillis: Long,
+        lease: OriginLease,
+        onDone: (isStored: Boolean) -> Unit,
     ) {
-        val attemptId = accountOwnedId(exchange.accountName, exchange.request.attemptId)
-        turnClient.storeOrigin(OriginRecord(attemptId, origin, System.currentTimeMillis() + retentionMillis))
+        turnClient.storeOrigin(OriginRecord(lease.attemptId, origin, System.currentTimeMillis() + lease.retentionMillis), onDone)
     }
 
     fun reserveTokens(effect: ReserveTokens) {
-        val use = UseRecord(effect.programId, effect.attemptId, effect.tokens, isSettled = false, useExpiry(), effect.sessionId)
+        val use =
+            UseRecord(
+                effect.programId,
+                effect.attemptId,
+                effect.tokens,
+                isSettled = false,
+                expiry(effect.retentionMillis),
+                effect.sessionId,
+            )
         turnClient.reserve(use, effect.budgetTokens, effect.timeoutMillis) { result, recentServerId ->
             loop.execute { submit(TokensReserved(effect.key, result, recentServerId)) }
         }
@@ -73,12 +79,21 @@
     fun settleTokens(effect: SettleTokens) {
         val events = exchanges[effect.key]?.forwardedEvents ?: return
         val tokens = events * effect.tokensPerEvent
+        val expiresAtEpochMillis = expiry(effect.retentionMillis)
         turnClient.settle(
-            UseRecord(effect.programId, effect.attemptId, tokens, isSettled = true, useExpiry(), effect.sessionId, effect.serverId),
+            UseRecord(
+                effect.programId,
+                effect.attemptId,
+                tokens,
+                isSettled = true,
+                expiresAtEpochMillis,
+                effect.sessionId,
+                effect.serverId,
+            ),
         )
     }
 
-    private fun useExpiry() = System.currentTimeMillis() + settings.budgetRetentionMillis
+    private fun expiry(retentionMillis: Long) = System.currentTimeMillis() + retentionMillis
 
     fun requestPermit(effect: RequestPermit) {
         turnClient.requestPermit(effect.candidates, effect.maxWaitMillis) { asked, reply ->
--- a/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
@@ -15,9 +15,10 @@
 /** A stream goes on while its origin is stored, so there is time to ask another host in place of a slow one. */
 private const val STORE_ORIGIN_TIMEOUT_MILLIS = 1_000L
 
-/** Stores the origin at as many turn hosts as hold a copy of a turn. */
+/** Stores the origin at as many turn hosts as hold a copy of a turn, and reports whether it is. */
 internal fun TurnClient.storeOrigin(
     record: OriginRecord,
+    onDone: (isStored: Boolean) -> Unit = {},
     timeoutMillis: Long = STORE_ORIGIN_TIMEOUT_MILLIS,
 ) {
     val list = hosts
@@ -33,10 +34,12 @@
         },
         onEnd = {
             when {
-                copiesStored >= list.copies -> Unit
-                isListOutdated(list, deadline) -> storeOrigin(record, remainingMillis(deadline))
-                else ->
+                copiesStored >= list.copies -> onDone(true)
+                isListOutdated(list, deadline) -> storeOrigin(record, onDone, remainingMillis(deadline))
+                else -> {
                     onCallFailure(StepError("store origin", record.attemptId, "stored by $copiesStored of ${list.copies} turn hosts"))
+                    onDone(false)
+                }
             }
         },
     )
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -145,7 +145,7 @@
                 programId = use?.programId,
                 attemptId = use?.attemptId ?: origin?.attemptId,
                 isSettled = use?.isSettled ?: false,
-                expiresAtEpochMillis = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: 0,
+                expiresAtEpochMillis = expiresAtEpochMillis,
             )
 }
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -1,11 +1,14 @@
 package lavendertrail.turns
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import lavendertrail.serving.TOKEN_USE_RENEWAL_MILLIS
 import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption.CREATE
 import java.nio.file.StandardOpenOption.WRITE
+import java.util.PriorityQueue
+import java.util.TreeMap
 import java.util.concurrent.Executor
 
 /**
@@ -25,9 +28,17 @@
     private val origins = HashMap<String, OriginRecord>()
     private val recentServers = HashMap<String, RecentServers>()
 
-    /** All records in the order of arrival, for copying to other hosts. */
-    private val arrivalOrder = ArrayDeque<StoredRecord>()
-    private var firstPosition = 0L
+    /** All records by position in the order of arrival, for copying to other hosts. */
+    private val arrivals = TreeMap<Long, StoredRecord>()
+    private var nextPosition = 0L
+
+    /** Positions of the records in the order of expiry, since a record may expire before those that arrived earlier. */
+    private val expiries = PriorityQueue(compareBy(Expiry::atEpochMillis))
+
+    private class Expiry(
+        val position: Long,
+        val atEpochMillis: Long,
+    )
 
     /** Identifies this run of the process, since record positions are not preserved over a restart. */
     private val epoch = nowEpochMillis()
@@ -101,7 +112,7 @@
 
     private fun usesExpiringBefore(reservation: UseRecord): List<UseRecord> =
         uses[reservation.programId].orEmpty().values.filter {
-            it.expiresAtEpochMillis < reservation.expiresAtEpochMillis - USE_RENEWAL_MILLIS
+            it.expiresAtEpochMillis < reservation.expiresAtEpochMillis - TOKEN_USE_RENEWAL_MILLIS
         }
 
     fun storeOrigin(
@@ -136,14 +147,12 @@
     ): RecordPage {
         val records = mutableListOf<StoredRecord>()
         var sizeBytes = 0
-        var position = maxOf(fromPosition, firstPosition)
-        while (position - firstPosition < arrivalOrder.size && records.size < limit && sizeBytes < MAX_PAGE_BYTES) {
-            val record = arrivalOrder[(position - firstPosition).toInt()]
+        for ((position, record) in arrivals.tailMap(fromPosition)) {
+            if (records.size >= limit || sizeBytes >= MAX_PAGE_BYTES) return RecordPage(records, position, isLast = false)
             records += record
             sizeBytes += record.sizeBytes
-            position++
         }
-        return RecordPage(records, position, isLast = position - firstPosition >= arrivalOrder.size)
+        return RecordPage(records, nextPosition, isLast = true)
     }
 
     class RecordPage(
@@ -181,7 +190,7 @@
 
     private fun has(key: RecordKey): Boolean {
         if (key.turnId != null) return hasTurn(key.turnId, key.expiresAtEpochMillis)
-        val programId = key.programId ?: return key.attemptId in origins
+        val programId = key.programId ?: return hasOrigin(key.attemptId.orEmpty(), key.expiresAtEpochMillis)
         val use = uses[programId]?.get(key.attemptId) ?: return false
         return (use.isSettled || !key.isSettled) && use.expiresAtEpochMillis >= key.expiresAtEpochMillis
     }
@@ -192,6 +201,12 @@
         expiresAtEpochMillis: Long,
     ): Boolean = turns[id]?.let { it.expiresAtEpochMillis >= expiresAtEpochMillis } ?: false
 
+    /** Whether the origin of the stream that [attemptId] began is kept here at least until [expiresAtEpochMillis]. */
+    private fun hasOrigin(
+        attemptId: String,
+        expiresAtEpochMillis: Long,
+    ): Boolean = origins[attemptId]?.let { it.expiresAtEpochMillis >= expiresAtEpochMillis } ?: false
+
     /** Returns all unexpired records, without those that later ones have replaced. */
     fun currentRecords(): List<StoredRecord> =
         (
@@ -213,25 +228,24 @@
 
     /** Removes expired records from memory. */
     fun removeExpired() {
-        while (arrivalOrder.isNotEmpty() && isExpired(arrivalOrder.first())) {
-            val record = arrivalOrder.removeFirst()
-            firstPosition++
+        while (expiries.isNotEmpty() && isExpired(expiries.peek().atEpochMillis)) {
+            val record = arrivals.remove(expiries.poll().position) ?: continue
             record.turn?.let { removeTurn(it) }
             record.use?.let { removeUse(it) }
-            record.origin?.let { origins.remove(it.attemptId) }
+            record.origin?.let { removeOrigin(it) }
         }
     }
 
     private fun removeTurn(turn: TurnRecord) {
         val current = turns[turn.id] ?: return
-        // A record that keeps the turn for longer follows in the arrival order.
+        // Another record may keep the turn for longer.
         if (current.expiresAtEpochMillis <= turn.expiresAtEpochMillis) turns.remove(turn.id)
     }
 
     private fun removeUse(use: UseRecord) {
         val entries = uses[use.programId] ?: return
         val current = entries[use.attemptId] ?: return
-        // A newer record of the same attempt expires later and follows in the arrival order.
+        // Another record of the same attempt may keep the use for longer.
         if (current.expiresAtEpochMillis > use.expiresAtEpochMillis) return
         entries.remove(use.attemptId)
         if (entries.isEmpty()) {
@@ -240,18 +254,25 @@
         }
     }
 
+    private fun removeOrigin(origin: OriginRecord) {
+        val current = origins[origin.attemptId] ?: return
+        // The origin may have been stored again.
+        if (current.expiresAtEpochMillis <= origin.expiresAtEpochMillis) origins.remove(origin.attemptId)
+    }
+
     private fun isNew(record: StoredRecord): Boolean {
         record.turn?.let { return !hasTurn(it.id, it.expiresAtEpochMillis) }
-        record.origin?.let { return it.attemptId !in origins }
+        record.origin?.let { return !hasOrigin(it.attemptId, it.expiresAtEpochMillis) }
         val use = record.use ?: return false
         val existing = uses[use.programId]?.get(use.attemptId) ?: return true
         return mergeUses(existing, use) != existing
     }
 
     private fun addToMemory(record: StoredRecord) {
-        arrivalOrder.addLast(record)
+        expiries += Expiry(nextPosition, record.expiresAtEpochMillis)
+        arrivals[nextPosition++] = record
         record.turn?.let { if (!hasTurn(it.id, it.expiresAtEpochMillis)) turns[it.id] = it }
-        record.origin?.let { origins[it.attemptId] = it }
+        record.origin?.let { if (!hasOrigin(it.attemptId, it.expiresAtEpochMillis)) origins[it.attemptId] = it }
         record.use?.let { use ->
             uses.getOrPut(use.programId) { HashMap() }.merge(use.attemptId, use, ::mergeUses)
             val serverId = use.serverId
@@ -282,7 +303,9 @@
         turnLog.append(payload, record.expiresAtEpochMillis) { isDurable -> executor.execute { onStored(isDurable) } }
     }
 
-    private fun isExpired(record: StoredRecord) = record.expiresAtEpochMillis + EXPIRY_MARGIN_MILLIS < nowEpochMillis()
+    private fun isExpired(record: StoredRecord) = isExpired(record.expiresAtEpochMillis)
+
+    private fun isExpired(expiresAtEpochMillis: Long) = expiresAtEpochMillis + EXPIRY_MARGIN_MILLIS < nowEpochMillis()
 
     override fun close(): Unit = turnLog.close()
 
@@ -291,9 +314,6 @@
         const val MAX_PAGE_BYTES = 500_000
         const val MAX_PAGE_RECORDS = 5_000
 
-        /** Half of the time for which entry hosts keep a use, so that a long program stores each of its uses once in that time. */
-        const val USE_RENEWAL_MILLIS = 60_000L
-
         /** Tolerates clock skew between hosts and clock adjustments. */
         const val EXPIRY_MARGIN_MILLIS = 30_000L
     }
