Limits of client accounts hold for all entry hosts together

An account that sent several times its limit got more requests run than its limit allows (QUOTA).

Cause: the limit was read from the configuration and enforced nowhere.

Change: one turn host decides for each account, the first that rendezvous hashing ranks in the list of turn hosts, whether an entry host reaches it or not. It is asked after admission and before any other work. Running programs go before new ones, and refused callers are told to return one after the other. A host that takes over waits until its predecessor has heard of the new list or stops trusting the old one; no call to the platform's store is added. Ruled out: shares of each host (callers are unevenly distributed), credit in advance (more than the limits of most accounts at 67 hosts), leases in the store for each account.

--- a/core/src/main/kotlin/lavendertrail/serving/ClientAccount.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ClientAccount.kt
@@ -4,8 +4,7 @@
  * A client account, which callers name by a key.
  *
  * [priority] goes before the priority of the route; null if the account has none. [requestsPerSecond] and [burstRequests] are the
- * limit that the configuration states for all entry hosts together; [requestsPerSecond] is null where it states none. Nothing enforces
- * the limit yet.
+ * limit that the configuration states for all entry hosts together; [requestsPerSecond] is null where it states none.
  */
 public data class ClientAccount(
     val name: String,
--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -16,6 +16,7 @@
     val permitRequests: Int = 0,
     /** When the outstanding permit was requested; null if none is outstanding or it has lapsed. */
     val permitRequestedAtMillis: Long? = null,
+    val awaitsQuota: Boolean = false,
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val awaitsOrigin: Boolean = false,
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -14,6 +14,12 @@
 
     /** The accounts may have changed without this host having heard of it. */
     KEY_UNCERTAIN(isNotRun = true),
+
+    /** The client account has used up the limit of its requests. */
+    QUOTA_SPENT(isNotRun = true),
+
+    /** The host that decides about the account's limit doesn't answer. */
+    QUOTA_UNCERTAIN(isNotRun = true),
     UNKNOWN_TURN(isNotRun = true),
     TURN_UNCERTAIN(isNotRun = true),
     BUDGET_SPENT(isNotRun = true),
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -35,7 +35,12 @@
     if (!isAdmitted(pending)) {
         return turnAwayOverloaded(pending, admissionRetryMillis(pending), "slowdown ${slowdown(pending)}")
     }
-    request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + pending.ownedId(it)) }
+    if (!askQuota(pending)) beginRequest(pending)
+}
+
+/** Begins the work for a request that is admitted. */
+internal fun ServingWork.beginRequest(pending: PendingRequest) {
+    pending.request.programId?.let { parts = parts.copy(startedPrograms = parts.startedPrograms + pending.ownedId(it)) }
     requestHistoryAndBudget(pending)
 }
 
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -84,6 +84,12 @@
     val key: RequestKey,
 ) : ServingEffect
 
+/** Asks the turn host that decides about the limit of the request's account; answered by [QuotaDecided]. */
+public data class AskQuota(
+    val key: RequestKey,
+    val question: QuotaQuestion,
+) : ServingEffect
+
 /**
  * Asks the pacer that all entry hosts share for a permit to send the request to one of [candidates], the preferred one first;
  * answered by [PermitDecided].
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -99,6 +99,17 @@
     val isServerAlive: Boolean = false,
 ) : ServingEvent
 
+/**
+ * Answers [AskQuota]. [decision] is null if the host that decides for the account didn't answer, or isn't known to be the only one.
+ * [entryHostCount] is the number of entry hosts that it knows.
+ */
+public data class QuotaDecided(
+    val key: RequestKey,
+    val accountName: String,
+    val decision: QuotaDecision?,
+    val entryHostCount: Int? = null,
+) : ServingEvent
+
 /** [decision] is null if no pacer could be reached. [entryHostCount] is the number of entry hosts that the pacer knows. */
 public data class PermitDecided(
     val key: RequestKey,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -33,6 +33,7 @@
         is AnswerStarted -> work.handleAnswerStarted(event)
         is ServerLeavingSeen -> work.markLeaving(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
+        is QuotaDecided -> work.handleQuotaDecided(event)
         is PermitDecided -> work.handlePermitDecided(event)
         is RequestLimitsLearnt -> work.recordLearntLimits(event.limits)
         is CrashEvidenceLearnt -> work.recordLearntCrashEvidence(event.evidence)
@@ -54,7 +55,9 @@
 
 private fun ServingWork.acceptConfig(config: ServingConfig) {
     val current = parts.config
-    if (current == null || config.version > current.version) parts = parts.copy(config = config)
+    if (current != null && config.version <= current.version) return
+    parts = parts.copy(config = config)
+    forgetQuotasOfOtherAccounts(config)
 }
 
 private fun ServingWork.handleTick() {
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -66,6 +66,11 @@
     val maxOriginWaitMillis: Long = 600_000,
     /** Shortest time for which a program's token use is kept; it is longer where the configuration keeps turns for longer. */
     val minUseRetentionMillis: Long = 120_000,
+    /**
+     * How long an account counts as well below its limit after the host that decides for it has said so; about the time in which that
+     * host is back or replaced.
+     */
+    val quotaSpareValidityMillis: Long = 10_000,
     /** How long a request of a running program may wait for a permit of a server with a request limit. */
     val permitWaitMillis: Long = 1_000,
     /** How long the first turn of a program may wait for a permit; about the target latency of a turn. */
--- a/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingState.kt
@@ -85,6 +85,8 @@
     val entryHostCount: Int = settings.assumedEntryHosts,
     /** Paces this host's own requests while no shared pacer can be reached. */
     val ownPacer: RequestPacer = RequestPacer(),
+    /** What is known of the use of client accounts with a limit, by name. */
+    val quotas: PersistentMap<String, KnownQuota> = persistentHashMapOf(),
     /** Callers that were turned away and requests that ended lately, by service; empty unless returns are ordered. */
     val returnDemand: PersistentMap<String, ReturnDemand> = persistentHashMapOf(),
     /** Until when requests must be answered; null unless the process is about to stop. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.json.put
 import lavendertrail.serving.AbortResponse
 import lavendertrail.serving.AnswerStarted
+import lavendertrail.serving.AskQuota
 import lavendertrail.serving.AttemptEnded
 import lavendertrail.serving.AttemptOutcome
 import lavendertrail.serving.BackendServer
@@ -63,6 +64,7 @@
             is CancelAttempt -> exchanges[effect.key]?.let { cancelAttempt(it) }
             is Reject -> exchanges[effect.key]?.let { reject(it, effect) }
             is AbortResponse -> exchanges[effect.key]?.let { abortResponse(it, effect.detail) }
+            is AskQuota -> turnEffects.askQuota(effect)
             is RequestPermit -> turnEffects.requestPermit(effect)
             is ReportRequestLimit -> turnEffects.reportRequestLimit(effect)
             is ReportCrashEvidence -> turnEffects.reportCrashEvidence(effect)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/GatewayMetrics.kt
@@ -7,6 +7,7 @@
 import lavendertrail.serving.AttemptOutcome
 import lavendertrail.serving.PermitDecision
 import lavendertrail.serving.PlacementReason
+import lavendertrail.serving.QuotaDecision
 import lavendertrail.serving.RejectReason
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -20,6 +21,8 @@
         AttemptOutcome.entries.associateWith { registry.counter("lavendertrail_attempts", "outcome", it.name.lowercase()) }
     private val permits: Map<PermitOutcome, Counter> =
         PermitOutcome.entries.associateWith { registry.counter("lavendertrail_permits", "outcome", it.name.lowercase()) }
+    private val quotas: Map<PermitOutcome, Counter> =
+        PermitOutcome.entries.associateWith { registry.counter("lavendertrail_account_requests", "outcome", it.name.lowercase()) }
     private val placements: Map<PlacementReason, Counter> =
         PlacementReason.entries.associateWith { registry.counter("lavendertrail_placements", "reason", it.name.lowercase()) }
     private val storeWatchEnds: Counter = registry.counter("lavendertrail_store_watch_ends")
@@ -89,6 +92,17 @@
         permits.getValue(outcome).increment()
     }
 
+    /** Records whether the limit of a client account had room for a request; null if no turn host decided. */
+    public fun recordQuota(decision: QuotaDecision?) {
+        val outcome =
+            when (decision?.isGranted) {
+                null -> PermitOutcome.NO_REPLY
+                false -> PermitOutcome.DENIED
+                true -> PermitOutcome.GRANTED
+            }
+        quotas.getValue(outcome).increment()
+    }
+
     private enum class PermitOutcome { GRANTED, DENIED, NO_REPLY }
 
     /** Records a complete response, [millis] after the request's arrival. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StoreWatcher.kt
@@ -201,6 +201,13 @@
     public val onHeard: (askedAtMillis: Long) -> Unit = {},
     public val onWatchEnded: () -> Unit = {},
 ) {
+    /** A listener that also calls [action] after each report. */
+    internal fun onHeard(action: (askedAtMillis: Long) -> Unit): StoreListener =
+        StoreListener(onSnapshot, onBatch, onReachable, {
+            onHeard(it)
+            action(it)
+        }, onWatchEnded)
+
     /** A listener that calls [action] after each snapshot and each batch. */
     internal fun andThen(action: () -> Unit): StoreListener =
         StoreListener({
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -2,11 +2,13 @@
 
 import io.netty.channel.EventLoop
 import kotlinx.serialization.json.put
+import lavendertrail.serving.AskQuota
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
 import lavendertrail.serving.OriginLease
 import lavendertrail.serving.PermitDecided
+import lavendertrail.serving.QuotaDecided
 import lavendertrail.serving.ReportCrashEvidence
 import lavendertrail.serving.ReportRequestLimit
 import lavendertrail.serving.RequestPermit
@@ -20,6 +22,7 @@
 import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
 import lavendertrail.turns.UseRecord
+import lavendertrail.turns.askQuota
 import lavendertrail.turns.loadChain
 import lavendertrail.turns.loadOrigin
 import lavendertrail.turns.reportCrashEvidence
@@ -95,6 +98,14 @@
 
     private fun expiry(retentionMillis: Long) = System.currentTimeMillis() + retentionMillis
 
+    fun askQuota(effect: AskQuota) {
+        turnClient.askQuota(effect.question) { reply ->
+            metrics.recordQuota(reply?.decision)
+            val decided = QuotaDecided(effect.key, effect.question.accountName, reply?.decision, reply?.entryHostCount)
+            loop.execute { submit(decided) }
+        }
+    }
+
     fun requestPermit(effect: RequestPermit) {
         turnClient.requestPermit(effect.candidates, effect.maxWaitMillis) { asked, reply ->
             metrics.recordPermit(reply?.decision)
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -6,6 +6,7 @@
 import lavendertrail.serving.CrashEvidence
 import lavendertrail.serving.PermitCandidate
 import lavendertrail.serving.PermitDecision
+import lavendertrail.serving.QuotaDecision
 import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.StreamOrigin
 
@@ -77,6 +78,13 @@
     val crashEvidence: List<CrashEvidence> = emptyList(),
 )
 
+/** [decision] is null if another host may decide for the account at present. */
+@Serializable
+internal data class QuotaReply(
+    val decision: QuotaDecision?,
+    val entryHostCount: Int,
+)
+
 /** What entry hosts have just reported about requests that may crash servers; sent without a request. */
 @Serializable
 internal data class CrashNotice(
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import lavendertrail.serving.QuotaQuestion
 import java.io.ByteArrayInputStream
 import java.io.InputStream
 
@@ -34,12 +35,13 @@
     val keepOrigin = unary("KeepOrigin", OriginRecord.serializer(), KeepReply.serializer())
     val findOrigin = unary("FindOrigin", OriginRequest.serializer(), OriginReply.serializer())
     val permit = unary("Permit", PermitRequest.serializer(), PermitReply.serializer())
+    val quota = unary("Quota", QuotaQuestion.serializer(), QuotaReply.serializer())
     val crashNotice = unary("CrashNotice", CrashNotice.serializer(), KeepReply.serializer())
     val copy = unary("Copy", CopyRequest.serializer(), CopyPage.serializer())
 
     /** Methods that entry hosts relay for each other, by bare name, with messages forwarded in encoded form. */
     val relayable: Map<String, MethodDescriptor<ByteArray, ByteArray>> =
-        listOf(keep, chain, use, permit, keepOrigin, findOrigin).associate {
+        listOf(keep, chain, use, permit, quota, keepOrigin, findOrigin).associate {
             it.bareMethodName.orEmpty() to
                 method(it.bareMethodName.orEmpty(), ByteArrayMarshaller, ByteArrayMarshaller)
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -25,11 +25,18 @@
     knownHosts: KnownHosts,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNoticeFile: CrashNoticeFile,
+    quotaHolder: QuotaHolder,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server {
     val sessions = OpenSessions()
-    val handlers = turnHandlers(repository, onListState, CrashNotices(sessions, crashNoticeFile, ::nowMillis))
+    val crashNotices = CrashNotices(sessions, crashNoticeFile, ::nowMillis)
+    val entryHosts = EntryHosts(::nowMillis)
+    val quotas =
+        callHandler(TurnMethods.quota) { request, reply ->
+            reply(quotaHolder.decide(request, knownHosts.listing, entryHosts.count()))
+        }
+    val handlers = turnHandlers(repository, onListState, crashNotices, entryHosts) + quotas
     return startCallServer(handlers, address, loop, ListFence(FENCED_METHODS) { knownHosts.listing }, sessions)
 }
 
@@ -75,18 +82,18 @@
             ServerCalls.asyncBidiStreamingCall { ServedSession(handlers, fence, sessions, it as ServerCallStreamObserver<CallFrame>) },
         ).build()
 
-/** Calls whose quorums and copies depend on the list of turn hosts. */
+/** Calls whose quorums, copies or holders depend on the list of turn hosts. */
 private val FENCED_METHODS =
-    listOf(TurnMethods.keep, TurnMethods.chain, TurnMethods.use, TurnMethods.keepOrigin, TurnMethods.findOrigin)
+    listOf(TurnMethods.keep, TurnMethods.chain, TurnMethods.use, TurnMethods.quota, TurnMethods.keepOrigin, TurnMethods.findOrigin)
         .mapTo(mutableSetOf()) { it.bareMethodName.orEmpty() }
 
 private fun turnHandlers(
     repository: TurnRepository,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
+    entryHosts: EntryHosts,
 ): Map<String, CallHandler> {
     val runId = UUID.randomUUID().toString()
-    val entryHosts = EntryHosts(::nowMillis)
     val permits = RequestPermits(::nowMillis)
     return mapOf(
         callHandler(TurnMethods.meet) { request, reply ->
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -7,6 +7,7 @@
 import lavendertrail.gateway.StoreMirror
 import lavendertrail.gateway.StoreWatcher
 import lavendertrail.gateway.StructuredLog
+import lavendertrail.gateway.nowMillis
 import lavendertrail.gateway.socketAddress
 import lavendertrail.model.StepError
 import lavendertrail.ports.KeyValueService
@@ -33,11 +34,12 @@
     private val mirror = StoreMirror()
     private val directory = TurnHostDirectory(service, mirror)
     private val knownHosts = KnownHosts(settings.folder)
+    private val quotaHolder = QuotaHolder(ownHost, QUOTA_TRUST_WAITS * settings.storeWatchWaitMillis, ::nowMillis)
     private val watcher =
         StoreWatcher(
             service,
             log,
-            mirror.listener().andThen(::adoptCachedList),
+            mirror.listener().andThen(::adoptCachedList).onHeard(quotaHolder::confirm),
             settings.storeWatchPauseMillis,
             settings.storeWatchWaitMillis,
         )
@@ -72,6 +74,7 @@
                 knownHosts,
                 ::exchangeListState,
                 crashNoticeFile,
+                quotaHolder,
                 socketAddress(settings.address),
                 group,
             )
@@ -240,6 +243,9 @@
         /** About the time in which members settle a new list. */
         const val JOIN_RETRY_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 500L
+
+        /** One late answer of the store doesn't end the trust in the list of hosts. */
+        const val QUOTA_TRUST_WAITS = 2
     }
 }
 
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -22,6 +22,7 @@
 /** Turn hosts on loopback ports, a client of them, and a stand-in for the platform's store. */
 internal class TurnHostsFixture(
     private val tolerance: Int = 1,
+    private val storeWatchWaitMillis: Long = 20_000,
 ) : AutoCloseable {
     val service = KeyValueStandin()
     val clientGroup = singleEventLoop()
@@ -54,7 +55,17 @@
         val port = ports.getOrPut(name) { freePorts(1).single() }
         val folder = folders.getOrPut(name) { createTempDirectory("turns-$name") }
         val group = singleEventLoop()
-        val settings = TurnStoreSettings(name, FailureDomain(name.take(1)), "127.0.0.1:$port", folder, isFirstStart, tolerance)
+        val settings =
+            TurnStoreSettings(
+                name,
+                FailureDomain(name.take(1)),
+                "127.0.0.1:$port",
+                folder,
+                isFirstStart,
+                tolerance,
+                0,
+                storeWatchWaitMillis,
+            )
         val requests =
             RetirementRequests({ name in retirementRequested }) { isDone ->
                 if (isDone) retired += name
