Requests of a limited account wait for the near future's room

Change: a request that can wait takes a token of the next second (half a second for a new program) and begins then. The most that a window can hold grows only by what waits when the deciding host restarts.

--- a/core/src/main/kotlin/lavendertrail/serving/AccountQuotas.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/AccountQuotas.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.serialization.Serializable
+import kotlin.math.ceil
 
 /**
  * The limit of a client account, as the configuration [configVersion] states it, for one request of a new program or of a running one.
@@ -14,15 +15,18 @@
     val burstRequests: Double,
     val configVersion: Long,
     val isNewProgram: Boolean,
+    /** How long the request can wait for room. */
+    val maxWaitMillis: Long = 0,
 )
 
 /**
- * Whether a request may run. One that may not is best sent again after [retryAfterMillis]. [hasSpare] tells whether the account uses
- * little of its limit at present.
+ * Whether a request may run, [waitMillis] from now. One that may not is best sent again after [retryAfterMillis]. [hasSpare] tells
+ * whether the account uses little of its limit at present.
  */
 @Serializable
 public data class QuotaDecision(
     val isGranted: Boolean,
+    val waitMillis: Long = 0,
     val retryAfterMillis: Long = 0,
     val hasSpare: Boolean = false,
 )
@@ -31,7 +35,8 @@
  * What client accounts may still use of their limits, at the one host that decides for them.
  *
  * Each account has a token bucket. It starts empty at [startedAtMillis], when this host began to decide, since another host or run may
- * have granted the burst just before. The last part of a bucket is kept for running programs, so that an account over its limit
+ * have granted the burst just before. A request that can wait takes a token of the near future, so that the requests of a program that
+ * come at once are spread and not refused. The last part of a bucket is kept for running programs, so that an account over its limit
  * finishes what it has begun. Callers that are refused are told to return one after the other, at the account's rate.
  */
 public data class AccountQuotas(
@@ -46,7 +51,7 @@
     ): Pair<AccountQuotas, QuotaDecision> {
         val known = buckets[question.accountName] ?: Bucket(question, tokens = 0.0, startedAtMillis, startedAtMillis)
         val bucket = known.refilled(share, nowMillis).withLimit(question)
-        val (next, decision) = bucket.decide(question.isNewProgram, share, nowMillis)
+        val (next, decision) = bucket.decide(question, share, nowMillis)
         return copy(buckets = buckets.put(question.accountName, next)) to decision
     }
 
@@ -82,21 +87,22 @@
         }
 
         internal fun decide(
-            isNewProgram: Boolean,
+            question: QuotaQuestion,
             share: Double,
             nowMillis: Long,
         ): Pair<Bucket, QuotaDecision> {
-            val keptTokens = if (isNewProgram) capacity * KEPT_FOR_RUNNING_PROGRAMS else 0.0
-            if (tokens >= 1 + minOf(keptTokens, capacity - 1)) {
+            val keptTokens = if (question.isNewProgram) minOf(capacity * KEPT_FOR_RUNNING_PROGRAMS, capacity - 1) else 0.0
+            val intervalMillis = MILLIS_PER_SECOND / (limit.requestsPerSecond * share)
+            val waitMillis = ceil((1 + keptTokens - tokens).coerceAtLeast(0.0) * intervalMillis).toLong()
+            if (waitMillis <= question.maxWaitMillis) {
                 val next = copy(tokens = tokens - 1)
-                return next to QuotaDecision(isGranted = true, hasSpare = next.tokens >= capacity * SPARE_PART)
+                return next to QuotaDecision(isGranted = true, waitMillis, hasSpare = next.tokens >= capacity * SPARE_PART)
             }
-            val intervalMillis = MILLIS_PER_SECOND / (limit.requestsPerSecond * share)
-            val roomAtMillis = nowMillis + ((1 - tokens).coerceAtLeast(0.0) * intervalMillis).toLong()
-            val returnAtMillis = maxOf(roomAtMillis, lastReturnAtMillis + intervalMillis.toLong())
+            // The first caller to return finds room without a wait, and the others follow.
+            val returnAtMillis = maxOf(nowMillis + waitMillis, lastReturnAtMillis + intervalMillis.toLong())
             val retryAfterMillis = (returnAtMillis - nowMillis).coerceIn(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS)
             return copy(lastReturnAtMillis = minOf(returnAtMillis, nowMillis + MAX_RETRY_MILLIS)) to
-                QuotaDecision(isGranted = false, retryAfterMillis)
+                QuotaDecision(isGranted = false, retryAfterMillis = retryAfterMillis)
         }
     }
 
--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -17,6 +17,8 @@
     /** When the outstanding permit was requested; null if none is outstanding or it has lapsed. */
     val permitRequestedAtMillis: Long? = null,
     val awaitsQuota: Boolean = false,
+    /** When the account has room for the request; null unless it waits for that. */
+    val beginsAtMillis: Long? = null,
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val awaitsOrigin: Boolean = false,
--- a/core/src/main/kotlin/lavendertrail/serving/QuotaFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/QuotaFlow.kt
@@ -27,21 +27,39 @@
     val account = pending.account ?: return null
     val requestsPerSecond = account.requestsPerSecond ?: return null
     val isNewProgram = pending.isFirstTurn || pending.request.programId == null
-    return QuotaQuestion(account.name, requestsPerSecond, account.burstRequests, parts.config?.version ?: 0, isNewProgram)
+    val waitMillis = if (isNewProgram) settings.newProgramQuotaWaitMillis else settings.quotaWaitMillis
+    return QuotaQuestion(
+        accountName = account.name,
+        requestsPerSecond = requestsPerSecond,
+        burstRequests = account.burstRequests,
+        configVersion = parts.config?.version ?: 0,
+        isNewProgram = isNewProgram,
+        maxWaitMillis = minOf(waitMillis, pending.remainingMillis(nowMillis) / 2),
+    )
 }
 
 internal fun ServingWork.handleQuotaDecided(event: QuotaDecided) {
     event.entryHostCount?.takeIf { it > 0 }?.let { parts = parts.copy(entryHostCount = it) }
     recordQuota(event)
-    val pending = pendingRequest(event.key)?.takeIf { it.awaitsQuota } ?: return
+    val pending = pendingRequest(event.key)?.takeIf { it.awaitsQuota && it.beginsAtMillis == null } ?: return
     val isGranted = event.decision?.isGranted ?: grantOwnShare(pending)
+    val waitMillis = event.decision?.waitMillis ?: 0
     when {
+        isGranted && waitMillis > 0 -> putRequest(pending.copy(beginsAtMillis = nowMillis + waitMillis))
         isGranted -> beginRequest(pending.copy(awaitsQuota = false))
         event.decision == null -> rejectRequest(pending, RejectReason.QUOTA_UNCERTAIN, QUOTA_UNCERTAIN_RETRY_MILLIS)
         else -> rejectRequest(pending, RejectReason.QUOTA_SPENT, event.decision.retryAfterMillis)
     }
 }
 
+/** Begins the requests for which their accounts have room by now. */
+internal fun ServingWork.beginWaitingRequests() {
+    parts.requests.values
+        .filter { it.beginsAtMillis != null && it.beginsAtMillis <= nowMillis }
+        .sortedBy { it.beginsAtMillis }
+        .forEach { beginRequest(it.copy(awaitsQuota = false, beginsAtMillis = null)) }
+}
+
 private fun ServingWork.recordQuota(event: QuotaDecided) {
     val decision = event.decision ?: return
     val known = parts.quotas[event.accountName] ?: KnownQuota()
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -69,5 +69,6 @@
         .filter { nowMillis >= it.deadlineAtMillis }
         .forEach { timeOutRequest(it) }
     endRequestsAtStop()
+    beginWaitingRequests()
     usePermits()
 }
--- a/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingSettings.kt
@@ -71,6 +71,10 @@
      * host is back or replaced.
      */
     val quotaSpareValidityMillis: Long = 10_000,
+    /** How long a request of a running program may wait until its account has room. */
+    val quotaWaitMillis: Long = 1_000,
+    /** How long the first request of a program may wait until its account has room. */
+    val newProgramQuotaWaitMillis: Long = 500,
     /** How long a request of a running program may wait for a permit of a server with a request limit. */
     val permitWaitMillis: Long = 1_000,
     /** How long the first turn of a program may wait for a permit; about the target latency of a turn. */
--- a/core/src/test/kotlin/lavendertrail/serving/QuotaFlowTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/QuotaFlowTest.kt
@@ -36,6 +36,21 @@
         assertIs<SendToServer>(bench.effects.single())
     }
 
+    @Test
+    fun `a request for which its account has room later is sent then`() {
+        bench.call(1)
+        bench.decide(1, QuotaDecision(isGranted = true, waitMillis = 200))
+        assertEquals(emptyList(), bench.effects)
+        repeat(2) {
+            bench.nowMillis += 90
+            bench.apply(ClockTicked)
+            assertEquals(emptyList(), bench.effects)
+        }
+        bench.nowMillis += 90
+        bench.apply(ClockTicked)
+        assertIs<SendToServer>(bench.effects.single())
+    }
+
     @Test
     fun `a request over the limit is refused as not run without any work`() {
         bench.call(1, bench.turnRequest(previous = "t0"))
