--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -57,6 +57,9 @@
     private val callerConnections = mutableSetOf<CallerConnection>()
     private val exchanges = HashMap<Long, Exchange>()
     private val exchangeKeys = HashMap<CallerConnection, Long>()
+
+    /** Changed only on the event loop, and read by the threads of status pages. */
+    @Volatile
     private var state = servingState(settings.failureDomain, settings.serving)
     private var nextKey = 1L
     private var ticks = 0L
--- a/gateway/src/test/kotlin/lavendertrail/gateway/LeavingServerLoadTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/LeavingServerLoadTest.kt
@@ -79,6 +79,7 @@
         fixture.gateway.submit(ConfigAccepted(GatewayFixture.config.copy(version = 2, routes = patientRoutes)))
         fixture.gateway.submit(ServerChanged(staying))
         fixture.gateway.submit(StoreReachabilityChanged(false))
+        fixture.awaitSubmittedTasks()
         val callers = List(CALLERS) { thread(isDaemon = true) { callRepeatedly(it) } }
         while (callers.any { it.isAlive }) {
             // An entry that is read late still names the server as ready.
