--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -51,6 +51,7 @@
     private val sendProblem: (RequestKey, BackendServer) -> String?,
     private val onFinished: (Exchange) -> Unit,
 ) {
+    private val serverEffects = ServerEffects(pool, exchanges, log, metrics)
     private val streamForwarder =
         StreamForwarder(turnEffects) { exchange, attempt, detail -> endBadAnswer(exchange, attempt, detail) }
 
@@ -68,26 +69,8 @@
             is RequestPermit -> turnEffects.requestPermit(effect)
             is ReportRequestLimit -> turnEffects.reportRequestLimit(effect)
             is ReportCrashEvidence -> turnEffects.reportCrashEvidence(effect)
-            is ReportLeavingServer -> reportLeavingServer(effect)
-            is CloseServerConnections -> closeServerConnections(effect)
-        }
-    }
-
-    private fun closeServerConnections(effect: CloseServerConnections) {
-        pool.closeIdleConnections(effect.id)
-        metrics.recordWithdrawnServer(effect.lastSentAfterMillis)
-        log.event("server withdrawn") {
-            put("server", effect.id)
-            put("lastSentAfterMillis", effect.lastSentAfterMillis)
-        }
-    }
-
-    private fun reportLeavingServer(effect: ReportLeavingServer) {
-        if (effect.isFirst) metrics.recordLeavingServer()
-        log.event(if (effect.isFirst) "server leaves" else "entry of leaving server followed") {
-            put("server", effect.serverId)
-            effect.key?.let { key -> put("request", exchanges[key]?.request?.attemptId) }
-            put("entryLagMillis", effect.entryLagMillis)
+            is ReportLeavingServer -> serverEffects.reportLeavingServer(effect)
+            is CloseServerConnections -> serverEffects.closeServerConnections(effect)
         }
     }
 
