Crashes that end in the same millisecond are counted in their order

Cause: losses were sorted by their end alone. Of two that ended in the same millisecond, the later one could come first; the earlier one then seemed to be lost together with it and didn't count.

Change: equal ends are ordered by the beginning of the attempts.

--- a/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/CrashRecord.kt
@@ -131,7 +131,8 @@
 
 private fun Collection<LostAttempt>.countedAfter(answerMillis: Long): List<LostAttempt> =
     filter { !it.isWithdrawn && it.endedAtMillis > answerMillis }
-        .sortedBy { it.endedAtMillis }
+        // Of two that ended in the same millisecond, the one that began first was lost first.
+        .sortedWith(compareBy({ it.endedAtMillis }, { it.startedAtMillis }))
         .fold(emptyList()) { counted, loss ->
             val last = counted.lastOrNull()
             if (last == null || loss.isAfter(last)) counted + loss else counted
