--- a/gateway/src/test/kotlin/lavendertrail/gateway/StreamContinuationTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/gateway/StreamContinuationTest.kt
@@ -38,6 +38,10 @@
             "error event without an id" to chunked + "\r\n" + chunk("event: error\ndata: internal\n\n") + LAST_CHUNK,
             "stream from its start" to chunked + "\r\n" + chunk(first) + chunk(second) + LAST_CHUNK,
             "redirect" to "HTTP/1.1 302 Found\r\n${marks}Location: /x\r\nContent-Length: 0\r\n\r\n",
+            "status 000" to answer("000 None", "text/event-stream", second),
+            "status 000 with chunks" to "HTTP/1.1 000\r\n${marks}Transfer-Encoding: chunked\r\n\r\n" + chunk(second) + LAST_CHUNK,
+            "status 099" to answer("099 None", "text/event-stream", second),
+            "status 999" to answer("999 Odd", "text/event-stream", second),
         )
 
     @Test
