--- a/review/11/Case11.java
+++ b/review/12/Case12.java
@@ -12,15 +12,15 @@
 import java.util.stream.Stream;
 
 /** All store machines lose power; at two of them the write that wasn't synced yet is torn. */
-final class Case11 {
+final class Case12 {
     private static final int SECTOR_BYTES = 512;
     private static final int HEADER_BYTES = 8;
     private static final double RECOVER_S = 12;
 
-    private Case11() {}
+    private Case12() {}
 
     public static void main(String[] args) {
-        Site.run(args[0], Case11::play);
+        Site.run(args[0], Case12::play);
     }
 
     private static boolean play(Site site) throws Exception {
