--- a/review/lib-3/Site.java
+++ b/review/lib-3/Site.java
@@ -21,6 +21,7 @@
     private final long startNanos = System.nanoTime();
     private final int basePort;
     private volatile boolean closed;
+    private int startedTurnHosts;
     private int seq;
 
     Site(Path recordFile) throws IOException {
@@ -43,7 +44,7 @@
     }
 
     Program turnHost(String name) {
-        Program program = new Program("turns", name, "127.0.0.1", basePort + 20 * turnHosts.size(), folder, store.address(), 1);
+        Program program = new Program("turns", name, "127.0.0.1", basePort + 20 * startedTurnHosts++, folder, store.address(), 1);
         turnHosts.add(program);
         return program;
     }
@@ -53,7 +54,7 @@
     }
 
     Program gateway(String name, String storeAddress) {
-        Program program = new Program("gateway", name, "127.0.0.1", basePort + 100 + 20 * gateways.size(), folder, storeAddress, 1);
+        Program program = new Program("gateway", name, "127.0.0.1", basePort + 120 + 20 * gateways.size(), folder, storeAddress, 1);
         gateways.add(program);
         return program;
     }
