--- a/review/lib-3/Backend.java
+++ b/review/lib-3/Backend.java
@@ -4,9 +4,12 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A stand-in of a backend server: one request at a time on a connection. What it answers is up to the case. */
 final class Backend implements AutoCloseable {
@@ -17,20 +20,33 @@
 
     final String id;
     final String service;
-    private final ServerSocket listener;
+    private final String address;
+    private final int port;
+    private final InetAddress host;
+    private volatile ServerSocket listener;
     private final Answer answer;
-    private final long born = System.currentTimeMillis();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile long born = System.currentTimeMillis();
+    private volatile boolean isDown;
 
     Backend(String ip, String id, String service, Answer answer) throws IOException {
         this.id = id;
         this.service = service;
         this.answer = answer;
         listener = new ServerSocket(0, 200, InetAddress.getByName(ip));
+        address = listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
+        port = listener.getLocalPort();
+        host = listener.getInetAddress();
+        accept(listener);
+    }
+
+    private void accept(ServerSocket current) {
         start(() -> {
-            while (!listener.isClosed()) {
+            while (!current.isClosed()) {
                 try {
-                    Socket socket = listener.accept();
+                    Socket socket = current.accept();
                     socket.setTcpNoDelay(true);
+                    sockets.add(socket);
                     start(() -> serve(socket));
                 } catch (IOException e) {
                     // Closed.
@@ -39,6 +55,38 @@
         });
     }
 
+    boolean isDown() {
+        return isDown;
+    }
+
+    /** Ends as a crashed process does, with all its connections, and starts again after a while as a new incarnation. */
+    synchronized void crash(long downMillis, Runnable onBack) throws IOException {
+        if (isDown) return;
+        isDown = true;
+        ServerSocket ended = listener;
+        ended.close();
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        sockets.clear();
+        start(() -> {
+            try {
+                Thread.sleep(downMillis);
+                ServerSocket next = new ServerSocket();
+                next.setReuseAddress(true);
+                next.bind(new InetSocketAddress(host, port), 200);
+                listener = next;
+                born = System.currentTimeMillis();
+                isDown = false;
+                accept(next);
+                onBack.run();
+            } catch (IOException | InterruptedException e) {
+                System.err.println(id + " can't start again: " + e);
+            }
+        });
+    }
+
     private static void start(Runnable task) {
         Thread thread = new Thread(task, "backend");
         thread.setDaemon(true);
@@ -46,7 +94,7 @@
     }
 
     String address() {
-        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
+        return address;
     }
 
     /** The entry that the server keeps in the platform's store. */
@@ -70,6 +118,8 @@
             }
         } catch (Exception e) {
             // The caller has closed the connection.
+        } finally {
+            sockets.remove(socket);
         }
     }
 
--- a/review/lib-3/Site.java
+++ b/review/lib-3/Site.java
@@ -94,7 +94,7 @@
                 while (!closed) {
                     Thread.sleep(1200);
                     for (Backend server : List.copyOf(servers)) {
-                        if (store.read("servers/" + server.id) != null) store.write("servers/" + server.id, server.entry(++seq));
+                        if (!server.isDown() && store.read("servers/" + server.id) != null) store.write("servers/" + server.id, server.entry(++seq));
                     }
                 }
             } catch (InterruptedException e) {
