--- a/review/lib-3/Site.java
+++ b/review/lib-3/Site.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
 /** A small deployment on loopback addresses: the store's stand-in, servers, turn hosts and gateways, and the record of the case. */
@@ -21,18 +24,45 @@
     private final long startNanos = System.nanoTime();
     private final int basePort;
     private volatile boolean closed;
+    private ServerSocket reservation;
     private int startedTurnHosts;
     private int seq;
 
     Site(Path recordFile) throws IOException {
         folder = Files.createTempDirectory("review");
         record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
-        basePort = 12_000 + (int) (ProcessHandle.current().pid() % 90) * 200;
+        basePort = reservePorts();
         store = new Store("127.0.0.1");
         note("trouble: " + hasTrouble);
         Runtime.getRuntime().addShutdownHook(new Thread(this::end));
     }
 
+    /** Finds 200 free ports, below those of outgoing connections, and keeps other runs from taking them by holding the last one. */
+    private int reservePorts() throws IOException {
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int base = 12_000 + ThreadLocalRandom.current().nextInt(95) * 200;
+            try {
+                reservation = new ServerSocket(base + 199, 1, InetAddress.getLoopbackAddress());
+            } catch (IOException e) {
+                continue;
+            }
+            if (areFree(base)) return base;
+            reservation.close();
+        }
+        throw new IOException("no free ports");
+    }
+
+    private static boolean areFree(int base) {
+        for (int port = base; port < base + 199; port++) {
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                socket.getLocalPort();
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     void note(String text) {
         synchronized (record) {
             record.printf("%8.3f %s%n", (System.nanoTime() - startNanos) / 1e9, text);
@@ -103,7 +133,7 @@
         });
         beats.setDaemon(true);
         beats.start();
-        awaitReady(30);
+        awaitReady(45);
         // All turn hosts of the first start belong to the list before the traffic begins.
         awaitTurnHosts(turnHosts.size(), 20);
         Thread.sleep(1500);
@@ -113,7 +143,9 @@
     void awaitReady(int limitSeconds) throws Exception {
         long until = System.nanoTime() + limitSeconds * 1_000_000_000L;
         while (!gateways.stream().allMatch(Program::isReady)) {
-            if (System.nanoTime() > until) throw new CannotRun("gateways did not become ready");
+            if (System.nanoTime() > until) {
+                throw new CannotRun("gateways did not become ready; turn hosts: " + store.read("lavendertrail/turn-hosts"));
+            }
             Thread.sleep(100);
         }
     }
@@ -174,6 +206,7 @@
         closed = true;
         end();
         store.close();
+        reservation.close();
         for (Backend server : servers) server.close();
         if (System.getenv("KEEP") != null) {
             System.err.println("kept " + folder);
