gateway, turns: a resumed turn is kept with all its parts

What callers saw: on a route that is stateful and resumable, the turn after a resumed stream ran with a history without the part that came before the break. Where the stream broke after its last event, and for any whole answer without an event, the next turn was answered 404.

Cause: a resume carried over the origin of the stream and nothing else. The output of an exchange began empty and was taken for the whole turn when the exchange ended; an answer without an event stored no turn.

Change: an entry host stores the unfinished turn, with the ids of its events, at the turn hosts when the answer ends early, before its caller sees the end. A resume begins with what is known up to the event that it names. It is refused as not run where that part isn't known, or belongs to another program, input or branch. A whole answer without an event is kept as an empty turn.

--- a/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/PendingRequest.kt
@@ -22,6 +22,8 @@
     val awaitsHistory: Boolean = false,
     val awaitsBudget: Boolean = false,
     val awaitsOrigin: Boolean = false,
+    /** Whether the part of a resumed turn that its caller has is being looked up. */
+    val awaitsPart: Boolean = false,
     /** The only servers that may handle the request, since the caller has events of theirs; null if it has none. */
     val requiredOrigin: StreamOrigin? = null,
     val isReserved: Boolean = false,
--- a/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RejectReason.kt
@@ -31,6 +31,9 @@
 
     /** The request continues a stream, and no server of the version that began it is left. */
     STREAM_VERSION_GONE(isNotRun = true),
+
+    /** The request continues a turn, and what its caller has of the turn's output is not known. */
+    STREAM_PART_UNKNOWN(isNotRun = true),
     OVERLOADED(isNotRun = true),
 
     /** Servers crashed whenever they ran the request. */
--- a/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestFlow.kt
@@ -4,17 +4,29 @@
  * The life cycle of an admitted request: history and budget of a turn, placement, attempts, and the final answer.
  */
 
-/** Requests the turn's history and budget, and a resumed stream's origin, at once, since each takes a round trip to the turn hosts. */
+/**
+ * Requests the turn's history and budget, and a resumed stream's origin and earlier part, at once, since each takes a round trip to the
+ * turn hosts.
+ */
 internal fun ServingWork.requestHistoryAndBudget(pending: PendingRequest) {
     val request = pending.request
     val timeoutMillis = minOf(settings.turnLookupTimeoutMillis, pending.remainingMillis(nowMillis))
     val history = request.previousTurnId?.takeIf { pending.route.turnRetentionMillis != null }
     val reservation = tokenReservation(pending, timeoutMillis)
     val origin = originLookup(pending, timeoutMillis)
+    val part = partLookup(pending, timeoutMillis)
     if (origin == null && pending.isResume) return rejectRequest(pending, RejectReason.STREAM_ORIGIN_UNKNOWN)
-    putRequest(pending.copy(awaitsHistory = history != null, awaitsBudget = reservation != null, awaitsOrigin = origin != null))
+    putRequest(
+        pending.copy(
+            awaitsHistory = history != null,
+            awaitsBudget = reservation != null,
+            awaitsOrigin = origin != null,
+            awaitsPart = part != null,
+        ),
+    )
     if (history != null) emit(LoadHistory(pending.key, pending.ownedId(history), request.programId, timeoutMillis))
     if (origin != null) emit(origin)
+    if (part != null) emit(part)
     if (reservation != null) emit(reservation)
     if (history == null && reservation == null && origin == null) placeRequest(pending.key)
 }
@@ -66,7 +78,7 @@
 /** Chooses a server for a request once its history and its reservation are known, and sends the request. */
 internal fun ServingWork.placeRequest(key: RequestKey) {
     val known = pendingRequest(key) ?: return
-    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin) return
+    if (known.awaitsHistory || known.awaitsBudget || known.awaitsOrigin || known.awaitsPart) return
     if (parts.outlastsStop(known)) return rejectAtStop(known)
     val pending = known.copy(readyAtMillis = known.readyAtMillis ?: nowMillis)
     putRequest(pending)
--- a/core/src/main/kotlin/lavendertrail/serving/ResumeFlow.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ResumeFlow.kt
@@ -4,6 +4,10 @@
  * Streams that a caller resumes after a broken connection. What servers of different versions generate doesn't fit together, and
  * servers don't check it, so a stream continues only at the version that began it. The caller names its attempt that brought the
  * first event; the turn hosts know which version that was, whichever entry host served it.
+ *
+ * A turn that is resumed is kept as a whole, so what its caller has of it must be known: another run would say something else. The
+ * entry host that served the earlier part has stored it when it ended. Where it isn't known up to the event that the caller names, the
+ * resume is refused before anything runs, and the program begins its turn anew.
  */
 
 /** Whether the request continues a stream, part of which its caller has. */
@@ -18,6 +22,33 @@
     return if (pending.isResume) LoadStreamOrigin(pending.key, pending.ownedId(attemptId), timeoutMillis) else null
 }
 
+/** The look-up of what the caller has of a resumed turn, or null if the request resumes none, or its output isn't kept. */
+internal fun partLookup(
+    pending: PendingRequest,
+    timeoutMillis: Long,
+): LoadStreamPart? {
+    if (!pending.isResume || pending.route.turnRetentionMillis == null) return null
+    val request = pending.request
+    return LoadStreamPart(
+        key = pending.key,
+        streamId = pending.ownedId(request.resumedAttemptId ?: return null),
+        lastEventId = request.resumeAfterEventId ?: return null,
+        programId = request.programId,
+        previousTurnId = request.previousTurnId?.let(pending::ownedId),
+        timeoutMillis = timeoutMillis,
+    )
+}
+
+internal fun ServingWork.handleStreamPartLoaded(event: StreamPartLoaded) {
+    val pending = pendingRequest(event.key) ?: return
+    if (event.result == StreamPartResult.FOUND) {
+        putRequest(pending.copy(awaitsPart = false))
+        return placeRequest(event.key)
+    }
+    val retryAfterMillis = if (event.result == StreamPartResult.UNCERTAIN) UNCERTAIN_RETRY_MILLIS else null
+    rejectRequest(pending, RejectReason.STREAM_PART_UNKNOWN, retryAfterMillis, detail = event.result.name.lowercase())
+}
+
 internal fun ServingWork.handleStreamOriginLoaded(event: StreamOriginLoaded) {
     val pending = pendingRequest(event.key) ?: return
     val origin = event.origin
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEffect.kt
@@ -18,6 +18,19 @@
     val timeoutMillis: Long,
 ) : ServingEffect
 
+/**
+ * Looks up what the caller has of the stream that its attempt [streamId] began, up to the event [lastEventId]; answered by
+ * [StreamPartLoaded]. The part counts only if it belongs to the same turn: of [programId], after [previousTurnId], with the same body.
+ */
+public data class LoadStreamPart(
+    val key: RequestKey,
+    val streamId: String,
+    val lastEventId: String,
+    val programId: String?,
+    val previousTurnId: String?,
+    val timeoutMillis: Long,
+) : ServingEffect
+
 /** Reserves [tokens] in the program's [budgetTokens] for [retentionMillis] at most; answered by [TokensReserved]. */
 public data class ReserveTokens(
     val key: RequestKey,
@@ -45,7 +58,7 @@
 /**
  * Sends the request to [server]; answered by [AnswerStarted] and [AttemptEnded]. A complete streamed answer is stored as a turn
  * for [turnRetentionMillis], where that is set. The stream's origin is stored with its first event, and again while it goes on, as
- * [originLease] says, where that is set.
+ * [originLease] says, where that is set. Where both are, the part of an answer that ends early is stored for as long as the origin.
  */
 public data class SendToServer(
     val key: RequestKey,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingEvent.kt
@@ -64,6 +64,12 @@
     val isCertain: Boolean,
 ) : ServingEvent
 
+/** Answers [LoadStreamPart]. */
+public data class StreamPartLoaded(
+    val key: RequestKey,
+    val result: StreamPartResult,
+) : ServingEvent
+
 /** The first byte of the server's answer has arrived. */
 public data class AnswerStarted(
     val key: RequestKey,
--- a/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/ServingReducer.kt
@@ -30,6 +30,7 @@
         is HistoryLoaded -> work.handleHistoryLoaded(event)
         is TokensReserved -> work.handleTokensReserved(event)
         is StreamOriginLoaded -> work.handleStreamOriginLoaded(event)
+        is StreamPartLoaded -> work.handleStreamPartLoaded(event)
         is AnswerStarted -> work.handleAnswerStarted(event)
         is ServerLeavingSeen -> work.markLeaving(event)
         is AttemptEnded -> work.handleAttemptEnded(event)
--- a/core/src/test/kotlin/lavendertrail/serving/ResumeFlowTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ResumeFlowTest.kt
@@ -30,13 +30,22 @@
         key: RequestKey,
         origin: StreamOrigin?,
         isCertain: Boolean = true,
-    ) = bench.apply(StreamOriginLoaded(key, origin, isCertain))
+    ) {
+        bench.apply(StreamPartLoaded(key, StreamPartResult.FOUND))
+        bench.apply(StreamOriginLoaded(key, origin, isCertain))
+    }
 
     @Test
     fun `a resumed stream goes only to servers of the version that began it`() {
         for (key in 1L..12L) {
             bench.arrive(key, resume("again$key"))
-            assertEquals("first", bench.singleEffect<LoadStreamOrigin>().attemptId)
+            assertEquals(
+                "first",
+                bench.effects
+                    .filterIsInstance<LoadStreamOrigin>()
+                    .single()
+                    .attemptId,
+            )
             load(key, StreamOrigin("engines", "v2"))
             val sent = bench.singleEffect<SendToServer>()
             assertEquals("new-1", sent.server.id)
--- a/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/EffectRunner.kt
@@ -20,6 +20,7 @@
 import lavendertrail.serving.CloseServerConnections
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
+import lavendertrail.serving.LoadStreamPart
 import lavendertrail.serving.Reject
 import lavendertrail.serving.ReportCrashEvidence
 import lavendertrail.serving.ReportLeavingServer
@@ -32,16 +33,13 @@
 import lavendertrail.serving.ServingEffect
 import lavendertrail.serving.ServingEvent
 import lavendertrail.serving.SettleTokens
-import lavendertrail.turns.TurnClient
-import lavendertrail.turns.storeTurn
-import lavendertrail.turns.turnExpiry
 
 /** Executes the effects of the serving reducer and submits their results as events. */
 internal class EffectRunner(
     private val protocol: GatewayProtocol,
     private val loop: EventLoop,
     private val pool: ServerPool,
-    private val turnClient: TurnClient,
+    private val turnKeeper: TurnKeeper,
     private val turnEffects: TurnEffects,
     private val exchanges: Map<Long, Exchange>,
     private val log: StructuredLog,
@@ -53,12 +51,13 @@
 ) {
     private val serverEffects = ServerEffects(pool, exchanges, log, metrics)
     private val streamForwarder =
-        StreamForwarder(turnEffects) { exchange, attempt, detail -> endBadAnswer(exchange, attempt, detail) }
+        StreamForwarder(turnEffects, turnKeeper) { exchange, attempt, detail -> endBadAnswer(exchange, attempt, detail) }
 
     fun execute(effect: ServingEffect) {
         when (effect) {
             is LoadHistory -> turnEffects.loadHistory(effect)
             is LoadStreamOrigin -> turnEffects.loadStreamOrigin(effect)
+            is LoadStreamPart -> turnEffects.loadStreamPart(effect)
             is ReserveTokens -> turnEffects.reserveTokens(effect)
             is SettleTokens -> turnEffects.settleTokens(effect)
             is SendToServer -> exchanges[effect.key]?.let { sendToServer(it, effect) }
@@ -81,6 +80,7 @@
             put("afterMillis", nowMillis() - exchange.arrivedMillis)
             put("events", exchange.forwardedEvents)
         }
+        turnKeeper.storeAtEnd(exchange) {}
         loop.execute { onFinished(exchange) }
     }
 
@@ -161,7 +161,7 @@
             }
         },
         onFailure = { reason -> endAttempt(exchange, attempt, AttemptOutcome.BROKEN, reason) },
-        keptBytes = { attempt.keptBytes + exchange.output.size() },
+        keptBytes = { attempt.keptBytes + exchange.output.sizeBytes },
     )
 
     private fun onResponseHead(
@@ -246,29 +246,32 @@
         if (attempt.eventParser.hasPartialEvent) {
             return endAttempt(exchange, attempt, AttemptOutcome.BROKEN, "stream ended within an event")
         }
-        if (!exchange.isResponseStarted) {
-            // Without a length or chunks, this may also be a server that went down before its first event.
-            if (attempt.response?.isFramed == true) return respondInFull(exchange, attempt)
+        // Without a length or chunks, this may also be a server that went down before its first event.
+        if (!exchange.isResponseStarted && attempt.response?.isFramed != true) {
             return endAttempt(exchange, attempt, AttemptOutcome.BROKEN, "stream ended before its first event")
         }
         if (attempt.continuesStream && !attempt.hasEvents && attempt.response?.statesEndOfStream() != true) {
             return endBadAnswer(exchange, attempt, "empty answer in place of the rest of the stream")
         }
-        val retentionMillis = attempt.effect.turnRetentionMillis
-        if (retentionMillis == null) return completeRequest(exchange, attempt, STATUS_OK) { exchange.connection.endResponse() }
-        val startedMillis = nowMillis()
-        val nowEpochMillis = System.currentTimeMillis()
-        val turn = exchange.toTurnRecord(turnExpiry(nowEpochMillis, retentionMillis))
-        turnClient.storeTurn(turn, STORE_TIMEOUT_MILLIS, exchange.history, nowEpochMillis + retentionMillis) { isStored ->
-            metrics.recordTurnSave(nowMillis() - startedMillis)
+        val retentionMillis = attempt.effect.turnRetentionMillis ?: return completeStream(exchange, attempt)
+        turnKeeper.storeFinished(exchange, retentionMillis) { isStored ->
             when {
                 attempt.isCancelled || exchange.currentAttempt !== attempt -> Unit
-                isStored -> completeRequest(exchange, attempt, STATUS_OK) { exchange.connection.endResponse() }
+                isStored -> completeStream(exchange, attempt)
                 else -> endAttempt(exchange, attempt, AttemptOutcome.NOT_KEPT, "fewer turn hosts stored the turn than copies are required")
             }
         }
     }
 
+    private fun completeStream(
+        exchange: Exchange,
+        attempt: ServerAttempt,
+    ) {
+        // A stream without any event has no answer in progress.
+        if (!exchange.isResponseStarted) return respondInFull(exchange, attempt)
+        completeRequest(exchange, attempt, STATUS_OK) { exchange.connection.endResponse() }
+    }
+
     /** Ends the attempt before the response is written, so that the state is up to date for the caller's next request. */
     private fun completeRequest(
         exchange: Exchange,
@@ -371,14 +374,13 @@
             put("events", exchange.forwardedEvents)
             put("millis", nowMillis() - exchange.arrivedMillis)
         }
-        onFinished(exchange)
-        exchange.connection.abort()
+        turnKeeper.storeAtEnd(exchange) {
+            onFinished(exchange)
+            exchange.connection.abort()
+        }
     }
 
     private companion object {
         const val STATUS_OK = 200
-
-        /** Long enough to ask another host in place of one whose disk stalls, and well below callers' timeouts. */
-        const val STORE_TIMEOUT_MILLIS = 1_500L
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Exchange.kt
@@ -6,11 +6,11 @@
 import io.netty.handler.codec.http.HttpResponse
 import lavendertrail.serving.BackendServer
 import lavendertrail.serving.CallerRequest
+import lavendertrail.serving.OriginLease
 import lavendertrail.serving.PlacementCause
 import lavendertrail.serving.RequestKey
 import lavendertrail.serving.SendToServer
 import lavendertrail.turns.TurnRecord
-import java.io.ByteArrayOutputStream
 
 /** A caller's request and the state of its handling. Accessed only on the event loop. */
 internal class Exchange(
@@ -37,8 +37,19 @@
     /** When the origin of the stream is stored again, with the next event. */
     var storeOriginAtMillis = Long.MIN_VALUE
 
-    /** Data of the forwarded events, each followed by a line feed; stored as the output of the turn. */
-    val output = ByteArrayOutputStream()
+    /** The output of the turn, on routes where turns are stored. */
+    val output = TurnOutput()
+
+    /** Under which id and for how long the turn is stored if it ends early; null where its caller can't resume it. */
+    var streamLease: OriginLease? = null
+        private set
+
+    /** Whether [output] began with what the caller has from earlier attempts. */
+    var hasEarlierPart = false
+        private set
+
+    /** Whether the turn has ended early and was handed over to be stored. */
+    var isUnfinishedStored = false
     var firstEventAtMillis: Long? = null
 
     fun recordSend(effect: SendToServer) {
@@ -46,28 +57,27 @@
         lastServer = effect.server
         accountName = effect.accountName
         lastPlacement = effect.cause
+        streamLease = effect.originLease.takeIf { effect.turnRetentionMillis != null }
     }
 
-    fun addOutput(data: String) {
-        output.write(data.toByteArray())
-        output.write(LINE_FEED)
+    /** Continues the turn of which the caller has [part]. */
+    fun beginWith(part: TurnRecord) {
+        hasEarlierPart = true
+        output.addEarlier(part)
+        lastEventId = request.resumeAfterEventId
     }
 
     /** Lets the server send again once the caller has read what was sent so far. */
     fun resumeReading() {
         currentAttempt?.connection?.setReading(true)
     }
-
-    private companion object {
-        const val LINE_FEED = 10
-    }
 }
 
 /** One attempt to have a server handle the request of an exchange. */
 internal class ServerAttempt(
     val effect: SendToServer,
     val sentAtMillis: Long,
-    /** Whether the caller has received a part of the stream from an earlier attempt. */
+    /** Whether an earlier attempt has sent the caller a part of this answer. */
     val continuesStream: Boolean,
 ) {
     var connection: ServerConnection? = null
--- a/gateway/src/main/kotlin/lavendertrail/gateway/ForwardedMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/ForwardedMessages.kt
@@ -32,6 +32,8 @@
         input = body,
         output = output.toByteArray(),
         expiresAtEpochMillis = expiresAtEpochMillis,
+        streamId = streamLease?.attemptId,
+        eventMarks = if (streamLease == null) null else output.marks,
     )
 
 /** Why a success response can't be the one that a backend server gave to this request; null if it can, or is no success. */
--- a/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/Gateway.kt
@@ -91,13 +91,14 @@
         )
     private val pool =
         ServerPool(ServerConnector(loop, settings.serverConnectMillis, ReceiveBudget(settings.receiveBudgetBytes)), ::nowMillis)
-    private val turnEffects = TurnEffects(loop, turnClient, exchanges, log, metrics, ::submit)
+    private val turnKeeper = TurnKeeper(turnClient, log, metrics)
+    private val turnEffects = TurnEffects(loop, turnClient, turnKeeper, exchanges, log, metrics, ::submit)
     private val effectRunner =
         EffectRunner(
             protocol,
             loop,
             pool,
-            turnClient,
+            turnKeeper,
             turnEffects,
             exchanges,
             log,
--- a/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
@@ -13,6 +13,7 @@
  */
 internal class StreamForwarder(
     private val turnEffects: TurnEffects,
+    private val turnKeeper: TurnKeeper,
     private val onBroken: (Exchange, ServerAttempt, detail: String) -> Unit,
 ) {
     fun forward(
@@ -40,7 +41,10 @@
         event: StreamEvent,
     ): String? =
         when {
-            attempt.continuesStream && !event.follows(exchange.lastEventId) -> "event ${event.id} after event ${exchange.lastEventId}"
+            (attempt.continuesStream || exchange.hasEarlierPart) &&
+                !event.follows(
+                    exchange.lastEventId,
+                ) -> "event ${event.id} after event ${exchange.lastEventId}"
             connection.hasMixedIn(Unpooled.wrappedBuffer(event.bytes)) -> "an event holds a part of another answer"
             else -> null
         }
@@ -56,19 +60,18 @@
             val head = attempt.response ?: return
             exchange.connection.startResponse(DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), endToEndHeaders(head.headers())))
         }
-        attempt.effect.originLease?.let { keepOrigin(exchange, attempt, it) }
         attempt.recordEvent(nowMillis())
         exchange.connection.writeChunk(event.bytes)
         exchange.lastEventId = event.id ?: exchange.lastEventId
-        if (event.data != null) {
-            exchange.forwardedEvents++
-            if (attempt.effect.turnRetentionMillis != null) exchange.addOutput(event.data)
-        }
+        if (event.data != null) exchange.forwardedEvents++
+        if (attempt.effect.turnRetentionMillis != null) exchange.output.add(event)
+        attempt.effect.originLease?.let { keepOrigin(exchange, attempt, it) }
     }
 
     /**
      * Stores the origin of the stream with its first event, and again once half of the time has passed for which it is kept. An origin
-     * that could not be stored is stored with a later event, so that an outage of the turn hosts leaves no stream without one.
+     * that could not be stored is stored with a later event, so that an outage of the turn hosts leaves no stream without one. The part
+     * of a turn that its caller has from earlier attempts is stored again with it, so that both are kept for the same time.
      */
     private fun keepOrigin(
         exchange: Exchange,
@@ -77,6 +80,7 @@
     ) {
         if (nowMillis() < exchange.storeOriginAtMillis) return
         exchange.storeOriginAtMillis = nowMillis() + lease.retentionMillis / 2
+        if (exchange.hasEarlierPart) turnKeeper.storeUnfinished(exchange)
         turnEffects.storeStreamOrigin(attempt.effect.server.streamOrigin, lease) { isStored ->
             if (!isStored) exchange.storeOriginAtMillis = nowMillis() + ORIGIN_RETRY_MILLIS
         }
--- a/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/TurnEffects.kt
@@ -6,6 +6,7 @@
 import lavendertrail.serving.HistoryLoaded
 import lavendertrail.serving.LoadHistory
 import lavendertrail.serving.LoadStreamOrigin
+import lavendertrail.serving.LoadStreamPart
 import lavendertrail.serving.OriginLease
 import lavendertrail.serving.PermitDecided
 import lavendertrail.serving.QuotaDecided
@@ -18,6 +19,7 @@
 import lavendertrail.serving.StatedLimit
 import lavendertrail.serving.StreamOrigin
 import lavendertrail.serving.StreamOriginLoaded
+import lavendertrail.serving.StreamPartLoaded
 import lavendertrail.serving.TokensReserved
 import lavendertrail.turns.OriginRecord
 import lavendertrail.turns.TurnClient
@@ -34,6 +36,7 @@
 internal class TurnEffects(
     private val loop: EventLoop,
     private val turnClient: TurnClient,
+    private val turnKeeper: TurnKeeper,
     private val exchanges: Map<Long, Exchange>,
     private val log: StructuredLog,
     private val metrics: GatewayMetrics,
@@ -55,6 +58,11 @@
         }
     }
 
+    fun loadStreamPart(effect: LoadStreamPart) {
+        val exchange = exchanges[effect.key] ?: return
+        turnKeeper.loadEarlierPart(exchange, effect) { result -> loop.execute { submit(StreamPartLoaded(effect.key, result)) } }
+    }
+
     /** Stores which servers have sent the events of the stream to the caller. */
     fun storeStreamOrigin(
         origin: StreamOrigin,
--- a/gateway/src/main/kotlin/lavendertrail/turns/ChainCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/ChainCalls.kt
@@ -41,26 +41,7 @@
     onDone: (Boolean) -> Unit,
 ) {
     cache.put(turn)
-    val list = hosts
-    if (!list.isSufficient) return onDone(false)
-    val deadline = deadline(timeoutMillis)
-    var copiesStored = 0
-    queryHosts(
-        TurnMethods.keep,
-        turn,
-        HostQuery(rankedHosts(turn.programId), list.copies, timeoutMillis),
-        onReply = { reply ->
-            if (reply.isKept) copiesStored++
-            if (copiesStored >= list.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
-        },
-        onEnd = {
-            if (copiesStored < list.copies && isListOutdated(list, deadline)) {
-                storeSingleTurn(turn, remainingMillis(deadline), onDone)
-            } else {
-                onDone(copiesStored >= list.copies)
-            }
-        },
-    )
+    storeCopies(TurnMethods.keep, turn, timeoutMillis, { rankedHosts(turn.programId) }, onDone)
 }
 
 /** Reports the chain of turns that ends with [turnId], oldest first. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/OriginCalls.kt
@@ -21,28 +21,10 @@
     onDone: (isStored: Boolean) -> Unit = {},
     timeoutMillis: Long = STORE_ORIGIN_TIMEOUT_MILLIS,
 ) {
-    val list = hosts
-    val deadline = deadline(timeoutMillis)
-    var copiesStored = 0
-    queryHosts(
-        TurnMethods.keepOrigin,
-        record,
-        HostQuery(originHosts(record.attemptId), list.copies, timeoutMillis),
-        onReply = { reply ->
-            if (reply.isKept) copiesStored++
-            if (copiesStored >= list.copies) ReplyOutcome.SUFFICIENT else ReplyOutcome.of(reply.isKept)
-        },
-        onEnd = {
-            when {
-                copiesStored >= list.copies -> onDone(true)
-                isListOutdated(list, deadline) -> storeOrigin(record, onDone, remainingMillis(deadline))
-                else -> {
-                    onCallFailure(StepError("store origin", record.attemptId, "stored by $copiesStored of ${list.copies} turn hosts"))
-                    onDone(false)
-                }
-            }
-        },
-    )
+    storeCopies(TurnMethods.keepOrigin, record, timeoutMillis, { hostsOfStream(record.attemptId) }) { isStored ->
+        if (!isStored) onCallFailure(StepError("store origin", record.attemptId, "fewer than ${hosts.copies} turn hosts stored it"))
+        onDone(isStored)
+    }
 }
 
 /**
@@ -62,7 +44,7 @@
     queryHosts(
         TurnMethods.findOrigin,
         OriginRequest(attemptId),
-        HostQuery(originHosts(attemptId), 1, timeoutMillis),
+        HostQuery(hostsOfStream(attemptId), 1, timeoutMillis),
         onReply = { reply ->
             origin = origin ?: reply.origin
             if (reply.origin == null && reply.isComplete) hostsWithoutOrigin++
@@ -78,4 +60,5 @@
     )
 }
 
-private fun TurnClient.originHosts(attemptId: String): List<TurnHost> = rankTurnHosts(attemptId, hosts.hosts).sortedBy { !isUsable(it) }
+/** The hosts in the order in which they are asked about the stream that the attempt [attemptId] began. */
+internal fun TurnClient.hostsOfStream(attemptId: String): List<TurnHost> = rankTurnHosts(attemptId, hosts.hosts).sortedBy { !isUsable(it) }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -237,6 +237,14 @@
 
     internal fun deadline(timeoutMillis: Long): Long = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
 
+    /** Runs [task] on the event loop after [delayMillis]. */
+    internal fun schedule(
+        delayMillis: Long,
+        task: () -> Unit,
+    ) {
+        loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
     internal fun remainingMillis(deadlineNanos: Long): Long = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime())
 
     /**
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnCopier.kt
@@ -51,8 +51,11 @@
         peer: TurnPeer,
         page: CopyPage,
     ): Result<Unit, StepError> {
-        val smallRecords = page.uses.map { StoredRecord(use = it) } + page.origins.map { StoredRecord(origin = it) }
-        if (!storeRecords(smallRecords)) return Err(diskFailure())
+        val fullRecords =
+            page.uses.map { StoredRecord(use = it) } +
+                page.origins.map { StoredRecord(origin = it) } +
+                page.unfinishedTurns.map { StoredRecord(unfinishedTurn = it) }
+        if (!storeRecords(fullRecords)) return Err(diskFailure())
         var missingTurnIds = onLoop { repository.findMissingTurns(page) }
         while (missingTurnIds.isNotEmpty()) {
             val request = FetchRequest(missingTurnIds)
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMessages.kt
@@ -66,6 +66,20 @@
     val isComplete: Boolean,
 )
 
+/** Requests what is known of the stream that the attempt [streamId] began, up to the event [lastEventId]. */
+@Serializable
+internal data class StreamTurnsRequest(
+    val streamId: String,
+    val lastEventId: String,
+)
+
+/** [turns], finished or not, have their output up to the requested event; those that differ in nothing else are listed once. */
+@Serializable
+internal data class StreamTurnsReply(
+    val turns: List<TurnRecord>,
+    val isComplete: Boolean,
+)
+
 /**
  * Reports the limits of servers in [limits] and what may crash them in [crashEvidence], and requests a permit for one of [candidates],
  * if there are any.
@@ -105,7 +119,10 @@
     val after: Long,
 )
 
-/** Lists turns by id, since the requester may have them from another host, and uses and origins in full, since they are small. */
+/**
+ * Lists turns by id, since the requester may have them from another host, and the other records in full: uses and origins are small,
+ * and unfinished turns few.
+ */
 @Serializable
 internal class CopyPage(
     /** Positions are valid only within the same epoch. */
@@ -117,6 +134,7 @@
     val origins: List<OriginRecord> = emptyList(),
     /** The times until which the turns of [turnIds] are kept. */
     val turnExpiriesEpochMillis: List<Long> = emptyList(),
+    val unfinishedTurns: List<TurnRecord> = emptyList(),
 )
 
 @Serializable
@@ -131,35 +149,46 @@
     val handled: Int,
 )
 
-/** A record of the turn log: exactly one of a turn, a use and the origin of a stream. */
+/** A record of the turn log: exactly one of a turn, a use, the origin of a stream and an unfinished turn. */
 @Serializable
 internal class StoredRecord(
     val turn: TurnRecord? = null,
     val use: UseRecord? = null,
     val origin: OriginRecord? = null,
+    val unfinishedTurn: TurnRecord? = null,
 ) {
     val expiresAtEpochMillis: Long
-        get() = turn?.expiresAtEpochMillis ?: use?.expiresAtEpochMillis ?: origin?.expiresAtEpochMillis ?: 0
+        get() =
+            turn?.expiresAtEpochMillis
+                ?: use?.expiresAtEpochMillis
+                ?: origin?.expiresAtEpochMillis
+                ?: unfinishedTurn?.expiresAtEpochMillis
+                ?: 0
 
     /** The text whose rendezvous hash orders the hosts of the record. */
-    val placementKey: String get() = turn?.programId ?: use?.programId ?: origin?.attemptId.orEmpty()
+    val placementKey: String get() = turn?.programId ?: use?.programId ?: origin?.attemptId ?: unfinishedTurn?.streamId.orEmpty()
 
-    val sizeBytes: Int get() = ESTIMATED_USE_BYTES + (turn?.sizeBytes ?: 0)
+    val sizeBytes: Int get() = ESTIMATED_USE_BYTES + (turn?.sizeBytes ?: 0) + (unfinishedTurn?.sizeBytes ?: 0)
 
     val key: RecordKey
         get() =
             RecordKey(
                 turnId = turn?.id,
                 programId = use?.programId,
-                attemptId = use?.attemptId ?: origin?.attemptId,
+                attemptId = use?.attemptId ?: origin?.attemptId ?: unfinishedTurn?.id,
                 isSettled = use?.isSettled ?: false,
                 expiresAtEpochMillis = expiresAtEpochMillis,
+                streamId = unfinishedTurn?.streamId,
+                eventCount = unfinishedTurn?.eventCount ?: 0,
             )
 }
 
 private const val ESTIMATED_USE_BYTES = 100
 
-/** Identifies a record: a turn by [turnId], a use by [programId] and [attemptId], the origin of a stream by [attemptId] alone. */
+/**
+ * Identifies a record: a turn by [turnId], a use by [programId] and [attemptId], an unfinished turn by [streamId] and [attemptId], the
+ * origin of a stream by [attemptId] alone.
+ */
 @Serializable
 internal data class RecordKey(
     val turnId: String? = null,
@@ -169,6 +198,9 @@
     val isSettled: Boolean = false,
     /** The time until which a turn or use is to be kept; a host that drops it earlier lacks it. */
     val expiresAtEpochMillis: Long = 0,
+    val streamId: String? = null,
+    /** The events of an unfinished turn; a host with fewer lacks it. */
+    val eventCount: Int = 0,
 )
 
 /** Asks which of the records with [keys] the host lacks. */
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnMethods.kt
@@ -34,6 +34,8 @@
     val relay = unary("Relay", RelayRequest.serializer(), RelayReply.serializer())
     val keepOrigin = unary("KeepOrigin", OriginRecord.serializer(), KeepReply.serializer())
     val findOrigin = unary("FindOrigin", OriginRequest.serializer(), OriginReply.serializer())
+    val keepUnfinished = unary("KeepUnfinished", TurnRecord.serializer(), KeepReply.serializer())
+    val findStreamTurns = unary("FindStreamTurns", StreamTurnsRequest.serializer(), StreamTurnsReply.serializer())
     val permit = unary("Permit", PermitRequest.serializer(), PermitReply.serializer())
     val quota = unary("Quota", QuotaQuestion.serializer(), QuotaReply.serializer())
     val crashNotice = unary("CrashNotice", CrashNotice.serializer(), KeepReply.serializer())
@@ -41,7 +43,7 @@
 
     /** Methods that entry hosts relay for each other, by bare name, with messages forwarded in encoded form. */
     val relayable: Map<String, MethodDescriptor<ByteArray, ByteArray>> =
-        listOf(keep, chain, use, permit, quota, keepOrigin, findOrigin).associate {
+        listOf(keep, chain, use, permit, quota, keepOrigin, findOrigin, keepUnfinished, findStreamTurns).associate {
             it.bareMethodName.orEmpty() to
                 method(it.bareMethodName.orEmpty(), ByteArrayMarshaller, ByteArrayMarshaller)
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -26,6 +26,10 @@
     private val turns = HashMap<String, TurnRecord>()
     private val uses = HashMap<String, HashMap<String, UseRecord>>()
     private val origins = HashMap<String, OriginRecord>()
+    private val unfinishedTurns = StreamTurns()
+
+    /** Those of [turns] whose streams callers may resume. */
+    private val finishedStreams = StreamTurns()
     private val recentServers = HashMap<String, RecentServers>()
 
     /** All records by position in the order of arrival, for copying to other hosts. */
@@ -127,6 +131,22 @@
 
     fun findOrigin(request: OriginRequest): OriginReply = OriginReply(origins[request.attemptId]?.origin, isComplete)
 
+    /** Stores a turn that has broken off, for its caller to resume it. */
+    fun storeUnfinishedTurn(
+        turn: TurnRecord,
+        onReply: (KeepReply) -> Unit,
+    ) {
+        if (isSealed) return onReply(KeepReply(isKept = false))
+        val record = StoredRecord(unfinishedTurn = turn)
+        addToMemory(record)
+        appendToLog(record) { onReply(KeepReply(it)) }
+    }
+
+    fun findStreamTurns(request: StreamTurnsRequest): StreamTurnsReply {
+        val known = listOf(unfinishedTurns, finishedStreams).flatMap { it.upTo(request.streamId, request.lastEventId) }
+        return StreamTurnsReply(known.withoutRepeats(), isComplete)
+    }
+
     fun readCopyPage(request: CopyRequest): CopyPage {
         val page = recordsAfter(request.after, MAX_PAGE_RECORDS)
         return CopyPage(
@@ -135,6 +155,7 @@
             turnExpiriesEpochMillis = page.records.mapNotNull { it.turn?.expiresAtEpochMillis },
             uses = page.records.mapNotNull { it.use },
             origins = page.records.mapNotNull { it.origin },
+            unfinishedTurns = page.records.mapNotNull { it.unfinishedTurn },
             next = page.nextPosition,
             isLast = page.isLast,
         )
@@ -190,6 +211,9 @@
 
     private fun has(key: RecordKey): Boolean {
         if (key.turnId != null) return hasTurn(key.turnId, key.expiresAtEpochMillis)
+        if (key.streamId != null) {
+            return unfinishedTurns.has(key.streamId, key.attemptId.orEmpty(), key.eventCount, key.expiresAtEpochMillis)
+        }
         val programId = key.programId ?: return hasOrigin(key.attemptId.orEmpty(), key.expiresAtEpochMillis)
         val use = uses[programId]?.get(key.attemptId) ?: return false
         return (use.isSettled || !key.isSettled) && use.expiresAtEpochMillis >= key.expiresAtEpochMillis
@@ -212,7 +236,8 @@
         (
             turns.values.map { StoredRecord(turn = it) } +
                 uses.values.flatMap { it.values }.map { StoredRecord(use = it) } +
-                origins.values.map { StoredRecord(origin = it) }
+                origins.values.map { StoredRecord(origin = it) } +
+                unfinishedTurns.all().map { StoredRecord(unfinishedTurn = it) }
         ).filterNot(::isExpired)
 
     /** Stores records of another host that are not stored here yet, and reports whether all of them are on disk. */
@@ -233,6 +258,7 @@
             record.turn?.let { removeTurn(it) }
             record.use?.let { removeUse(it) }
             record.origin?.let { removeOrigin(it) }
+            record.unfinishedTurn?.let { unfinishedTurns.remove(it) }
         }
     }
 
@@ -240,6 +266,7 @@
         val current = turns[turn.id] ?: return
         // Another record may keep the turn for longer.
         if (current.expiresAtEpochMillis <= turn.expiresAtEpochMillis) turns.remove(turn.id)
+        finishedStreams.remove(turn)
     }
 
     private fun removeUse(use: UseRecord) {
@@ -263,6 +290,7 @@
     private fun isNew(record: StoredRecord): Boolean {
         record.turn?.let { return !hasTurn(it.id, it.expiresAtEpochMillis) }
         record.origin?.let { return !hasOrigin(it.attemptId, it.expiresAtEpochMillis) }
+        record.unfinishedTurn?.let { return !has(record.key) }
         val use = record.use ?: return false
         val existing = uses[use.programId]?.get(use.attemptId) ?: return true
         return mergeUses(existing, use) != existing
@@ -271,7 +299,11 @@
     private fun addToMemory(record: StoredRecord) {
         expiries += Expiry(nextPosition, record.expiresAtEpochMillis)
         arrivals[nextPosition++] = record
-        record.turn?.let { if (!hasTurn(it.id, it.expiresAtEpochMillis)) turns[it.id] = it }
+        record.turn?.let {
+            if (!hasTurn(it.id, it.expiresAtEpochMillis)) turns[it.id] = it
+            finishedStreams.add(it)
+        }
+        record.unfinishedTurn?.let(unfinishedTurns::add)
         record.origin?.let { if (!hasOrigin(it.attemptId, it.expiresAtEpochMillis)) origins[it.attemptId] = it }
         record.use?.let { use ->
             uses.getOrPut(use.programId) { HashMap() }.merge(use.attemptId, use, ::mergeUses)
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -84,10 +84,19 @@
 
 /** Calls whose quorums, copies or holders depend on the list of turn hosts. */
 private val FENCED_METHODS =
-    listOf(TurnMethods.keep, TurnMethods.chain, TurnMethods.use, TurnMethods.quota, TurnMethods.keepOrigin, TurnMethods.findOrigin)
-        .mapTo(mutableSetOf()) { it.bareMethodName.orEmpty() }
+    listOf(
+        TurnMethods.keep,
+        TurnMethods.chain,
+        TurnMethods.use,
+        TurnMethods.quota,
+        TurnMethods.keepOrigin,
+        TurnMethods.findOrigin,
+        TurnMethods.keepUnfinished,
+        TurnMethods.findStreamTurns,
+    ).mapTo(mutableSetOf()) { it.bareMethodName.orEmpty() }
 
-private fun turnHandlers(
+/** The handlers of all calls that need no list of turn hosts. */
+internal fun turnHandlers(
     repository: TurnRepository,
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
@@ -106,6 +115,8 @@
         },
         callHandler(TurnMethods.keepOrigin, repository::storeOrigin),
         callHandler(TurnMethods.findOrigin) { request, reply -> reply(repository.findOrigin(request)) },
+        callHandler(TurnMethods.keepUnfinished, repository::storeUnfinishedTurn),
+        callHandler(TurnMethods.findStreamTurns) { request, reply -> reply(repository.findStreamTurns(request)) },
         callHandler(TurnMethods.permit) { request, reply ->
             crashNotices.report(request.crashEvidence)
             reply(permits.decide(request, entryHosts.count()))
