turns: lists of any length can be changed after losses and retirements

Cause: a retirement left the list as long as one other host was in it. A change needed more than half of the members to have settled the list; of two, with one gone, that is never so. A short list never dropped a lost host.

Change: ListStep allows a change where each quorum of the list before is one of this list too, or where fewer members than such a quorum haven't settled it. A retirement leaves as many hosts as a record has copies, and waits otherwise. A host whose retirement can't be completed takes records again. A lost host leaves a short list once another one has joined since, or after 30 s.

--- a/gateway/src/main/kotlin/lavendertrail/turns/ListChanges.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/ListChanges.kt
@@ -12,32 +12,33 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
-/**
- * Decides whether the list of turn hosts may be changed: only once a majority of its members and all live ones have settled it.
- *
- * Members that have settled a list refuse calls by older lists, and their records are at quorums of the list. So the quorums of two
- * consecutive lists meet, and a caller with a list that is older than that gets no quorum.
- */
+/** Finds out what the members of the list of turn hosts know, and decides by [ListStep] whether the list may be changed. */
 internal class ListChanges(
     private val ownHost: TurnHost,
     private val knownHosts: KnownHosts,
+    private val directory: TurnHostDirectory,
+    private val tolerance: Int,
     private val group: EventLoopGroup,
     private val log: StructuredLog,
 ) {
     private val loop = group.next()
 
-    /** Whether [listing] may be replaced, given the hosts with live entries. Announces [listing] to its members on the way. */
+    /** Whether [change] may replace [listing]. Announces [listing] to its members on the way. */
     fun isAllowed(
         listing: TurnHostListing,
-        liveNames: Set<String>,
+        change: ListChange,
     ): Boolean {
-        val settled = memberStates(listing).filterValues { it.settledRevision >= listing.revision }.keys
-        val unsettledLive = listing.hosts.map { it.name }.filter { it in liveNames && it !in settled }
-        val isAllowed = unsettledLive.isEmpty() && settled.size > listing.hosts.size / 2
+        val departed = directory.readDeparted().onFailure { log.warn("departed turn hosts unreadable", it) }.get() ?: return false
+        val liveNames = directory.liveNames()
+        val hosts = TurnHosts(listing.hosts, tolerance, listing.revision)
+        val step = ListStep(hosts, memberStates(listing), liveNames, departed.hosts)
+        val isAllowed = step.allows(change)
         if (!isAllowed) {
             log.event("list change delayed") {
+                put("change", change.name.lowercase())
                 put("revision", listing.revision)
-                put("settled", settled.joinToString(","))
+                put("hosts", listing.hosts.joinToString(",") { it.name })
+                put("settled", step.settled.joinToString(","))
                 put("live", liveNames.joinToString(","))
             }
         }
--- a/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Liveness.kt
@@ -14,8 +14,9 @@
  * Maintains the leased entry that marks this host as live, and removes hosts from the list whose entries have been missing for
  * [REMOVAL_DELAY_MILLIS].
  *
- * A host is removed only if at least `2 * tolerance + 1` live hosts remain, that is, after a replacement has copied all records:
- * with fewer hosts, the lost host may return with the only other copy of a record.
+ * While at least `2 * tolerance + 1` live hosts remain, they can make all copies without the lost host. One host fewer is enough if
+ * another host has joined since the loss, or after [LOST_FOR_GOOD_MILLIS]: a lost host that stays in a short list would prevent the
+ * replacement of the next one. Otherwise it is waited for, since it may return with its disk.
  */
 internal class Liveness(
     private val service: KeyValueService,
@@ -28,7 +29,10 @@
     private val nowMillis: () -> Long = ::nowMillis,
 ) {
     private var leaseId: Long? = null
-    private val missingSinceMillis = mutableMapOf<String, Long>()
+    private val absences = mutableMapOf<String, Absence>()
+
+    /** The members when the host was last seen with a live entry, by name. */
+    private val membersSeenWith = mutableMapOf<String, List<String>>()
 
     /** When the departed hosts are looked at next, and the pause after that. */
     private var nextForgetMillis = 0L
@@ -37,7 +41,7 @@
     fun renewLeaseAndRemoveDeadHost() {
         val lease = leaseId
         if (lease == null || service.keepAlive(lease).get() == false) register()
-        if (!mirror.isCurrent) return missingSinceMillis.clear()
+        if (!mirror.isCurrent) return absences.clear()
         removeDeadHost()
         if (!directory.hasDeparted) {
             forgetPauseMillis = MIN_FORGET_PAUSE_MILLIS
@@ -48,6 +52,20 @@
         }
     }
 
+    /** Notes that this host joins [listing], so that it counts as a replacement of members that have been lost before. */
+    fun noteJoin(listing: TurnHostListing) {
+        noteAbsences(listing.hosts.map { it.name }, directory.liveNames())
+    }
+
+    private fun noteAbsences(
+        names: List<String>,
+        liveNames: Set<String>,
+    ) {
+        val (live, absent) = names.partition { it in liveNames }
+        live.forEach { membersSeenWith[it] = names }
+        absent.forEach { absences.getOrPut(it) { Absence(nowMillis(), membersSeenWith[it] ?: names) } }
+    }
+
     private fun register() {
         leaseId = null
         val lease = service.grantLease(LEASE_TTL_MILLIS).onFailure { log.warn("lease failed", it) }.get() ?: return
@@ -63,19 +81,34 @@
         val live = directory.liveNames()
         val listing = directory.cached() ?: return
         val now = nowMillis()
-        missingSinceMillis.keys.retainAll { it !in live }
-        listing.hosts.filter { it.name !in live }.forEach { missingSinceMillis.putIfAbsent(it.name, now) }
-        val deadHosts = listing.hosts.filter { now - (missingSinceMillis[it.name] ?: now) > REMOVAL_DELAY_MILLIS }
-        val liveHostCount = listing.hosts.count { it.name in live }
+        val names = listing.hosts.map { it.name }
+        val liveMembers = names.filter { it in live }
+        absences.keys.retainAll { it !in live }
+        noteAbsences(names, live)
         // Hosts are removed one at a time: quorums of entry hosts whose lists differ by one host still overlap for every budget.
-        val removedHost = deadHosts.firstOrNull() ?: return
-        if (liveHostCount < 2 * tolerance + 1 || live.minOrNull() != ownHost.name) return
-        if (listChanges?.isAllowed(listing, live) == false || !recordDeparture(removedHost, listing)) return
+        val removedHost = listing.hosts.firstOrNull { mayBeRemoved(absences[it.name] ?: return@firstOrNull false, liveMembers, now) }
+        if (removedHost == null || live.minOrNull() != ownHost.name) return
+        if (listChanges?.isAllowed(listing, ListChange.REMOVAL) == false || !recordDeparture(removedHost, listing)) return
         directory.removeDeadHost(removedHost, listing).fold({ isWritten ->
             if (isWritten) log.event("turn host removed") { put("host", removedHost.name) }
         }, { log.warn("turn host removal failed", it) })
     }
 
+    private fun mayBeRemoved(
+        absence: Absence,
+        liveMembers: List<String>,
+        nowMillis: Long,
+    ): Boolean {
+        val millis = nowMillis - absence.sinceMillis
+        val isReplaced = liveMembers.any { it !in absence.membersBefore }
+        val spareHosts = liveMembers.size - 2 * tolerance
+        return when {
+            millis <= REMOVAL_DELAY_MILLIS -> false
+            spareHosts > 0 -> true
+            else -> spareHosts == 0 && (isReplaced || millis > LOST_FOR_GOOD_MILLIS)
+        }
+    }
+
     /** Records that copies leave with [host], before it leaves; false if that couldn't be written. */
     private fun recordDeparture(
         host: TurnHost,
@@ -107,6 +140,12 @@
         }, { log.warn("departed turn hosts not written", it) })
     }
 
+    /** Since when a member has had no live entry, and who were the members before. */
+    private data class Absence(
+        val sinceMillis: Long,
+        val membersBefore: List<String>,
+    )
+
     private companion object {
         /** Many times the retention of turns, after which a copy that was lost doesn't matter any more. */
         const val DEPARTED_RETENTION_MILLIS = 3_600_000L
@@ -119,5 +158,8 @@
 
         /** In addition to the lease TTL; gives hosts time to renew entries that expired while the store was unavailable. */
         const val REMOVAL_DELAY_MILLIS = 2_200L
+
+        /** Many times the duration of a restart. */
+        const val LOST_FOR_GOOD_MILLIS = 30_000L
     }
 }
--- a/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/Retirement.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.get
 import io.netty.channel.EventLoopGroup
 import kotlinx.serialization.json.put
 import lavendertrail.gateway.StructuredLog
@@ -14,7 +13,8 @@
 
 /**
  * Retires this turn host at an operator's request: offers all records to the other turn hosts, refuses further writes, offers the
- * remaining records, removes this host from the list, and then reports that the disk can be discarded without loss.
+ * remaining records, removes this host from the list, and then reports that the disk can be discarded without loss. While the others
+ * are too few for the copies of a record, the host goes on serving and the request stays open.
  */
 internal class Retirement(
     private val ownHost: TurnHost,
@@ -24,7 +24,7 @@
     private val isRequestedByOperator: () -> Boolean,
     private val reportStatus: (isDone: Boolean) -> Result<Unit, StepError>,
     private val log: StructuredLog,
-    private val mayChange: (TurnHostListing) -> Boolean = { true },
+    private val mayLeave: (TurnHostListing) -> Boolean,
 ) {
     private val loop = group.next()
     private var isStartReported = false
@@ -42,17 +42,26 @@
         if (!isStartReported) isStartReported = reportStatus(false).fold({ true }, ::logFailure)
         val listing = directory.read().fold({ it }, { return log.warn("retirement step failed", it) })
         val others = listing.hosts.filter { it.name != ownHost.name }
-        if (others.isEmpty()) return log.event("retirement refused") { put("reason", "no other turn host") }
-        if (!offerAll(others)) return
+        val isMember = ownHost in listing.hosts
+        if (isMember && !mayLeave(listing)) return
+        if (others.isEmpty() || !offerAll(others)) return
         // Entry hosts that have not read the new list yet still send records here; a refusal makes them call another host.
         loop.submit { repository.seal() }.get()
-        if (!offerAll(others)) return
-        if (ownHost in listing.hosts && !mayChange(listing)) return
-        if (ownHost in listing.hosts && directory.write(others, listing.revision).get() != true) return
+        if (!offerAll(others) || (isMember && !leave(listing, others))) {
+            // A member that refuses records would leave the list without enough hosts for their copies.
+            loop.submit { repository.unseal() }.get()
+            return
+        }
         isDone = reportStatus(true).fold({ true }, ::logFailure)
         log.event("retired") { put("reported", isDone) }
     }
 
+    /** Removes this host from the list; false if it may still be a member. */
+    private fun leave(
+        listing: TurnHostListing,
+        others: List<TurnHost>,
+    ): Boolean = directory.write(others, listing.revision).fold({ it }, ::logFailure)
+
     private fun offerAll(others: List<TurnHost>): Boolean {
         val hostsStored = others.count { other -> TurnPeer(other.address, group).use { offerRecords(it, other) } }
         log.event("offered turns") {
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnHosts.kt
@@ -15,7 +15,7 @@
     val revision: Long = 0,
 ) {
     public val copies: Int get() = tolerance + 1
-    public val quorum: Int get() = maxOf(hosts.size / 2 + 1, copies)
+    public val quorum: Int get() = quorumOf(hosts.size, copies)
     public val isSufficient: Boolean get() = hosts.size >= copies
 
     /**
@@ -27,3 +27,9 @@
     /** The number of hosts that must have [record]; all of them if there are fewer than it needs. */
     internal fun copiesOf(record: StoredRecord): Int = minOf(if (record.use != null) quorum else copies, hosts.size)
 }
+
+/** More than half of [size] hosts, and enough for a record to outlive the losses that are tolerated. */
+internal fun quorumOf(
+    size: Int,
+    copies: Int,
+): Int = maxOf(size / 2 + 1, copies)
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -78,6 +78,12 @@
         isComplete = false
     }
 
+    /** Accepts writes again after [seal]. */
+    fun unseal() {
+        isSealed = false
+        isComplete = Files.exists(folder.resolve(COMPLETE_MARKER))
+    }
+
     fun storeTurn(
         turn: TurnRecord,
         onReply: (KeepReply) -> Unit,
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -45,7 +45,8 @@
         )
     private val copier = TurnCopier(ownHost, repository, group)
     private val repair = RecordRepair(ownHost, repository, group, settings.diskTolerance, log)
-    private val listChanges = ListChanges(ownHost, knownHosts, group, log)
+    private val listChanges = ListChanges(ownHost, knownHosts, directory, settings.diskTolerance, group, log)
+    private val liveness = Liveness(service, mirror, directory, ownHost, settings.diskTolerance, log, listChanges)
     private var server: Server? = null
 
     /** Signals the repair thread that a newer list of hosts is known. */
@@ -124,7 +125,6 @@
 
     /** Joins the other turn hosts, then renews the registration and removes dead hosts. */
     private fun maintain() {
-        val liveness = Liveness(service, mirror, directory, ownHost, settings.diskTolerance, log, listChanges)
         val retirement =
             Retirement(
                 ownHost = ownHost,
@@ -134,7 +134,7 @@
                 isRequestedByOperator = { retirementRequests.isRequested(mirror) },
                 reportStatus = retirementRequests.report,
                 log = log,
-                mayChange = { listChanges.isAllowed(it, directory.liveNames()) },
+                mayLeave = { listChanges.isAllowed(it, ListChange.RETIREMENT) },
             )
         while (!isStopping) {
             try {
@@ -167,8 +167,9 @@
         if (!repository.isComplete) runOnLoop { repository.markComplete() }
         hasJoined = hasJoined || isMember
         if (ownHost in listing.hosts) return
-        isJoinDelayed = !isFirstJoin && listing.hosts.isNotEmpty() && !listChanges.isAllowed(listing, directory.liveNames())
+        isJoinDelayed = !isFirstJoin && listing.hosts.isNotEmpty() && !listChanges.isAllowed(listing, ListChange.JOIN)
         if (isJoinDelayed) return
+        liveness.noteJoin(listing)
         directory.write(others + ownHost, listing.revision).fold({ isWritten ->
             hasJoined = hasJoined || isWritten
             if (isWritten) log.event("joined turn hosts") { put("hosts", (others + ownHost).joinToString(",") { it.name }) }
--- a/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/TurnHostsFixture.kt
@@ -119,6 +119,14 @@
             ?.let { TurnHostDirectory.decode(it.value) }
             .orEmpty()
 
+    /** The hosts that have left with copies that aren't replaced yet. */
+    fun departedHosts(): List<DepartedHost> =
+        TurnHostDirectory(service, StoreMirror())
+            .readDeparted()
+            .get()
+            ?.hosts
+            .orEmpty()
+
     /** The host that paces the requests to [serverId]. */
     fun pacingHost(serverId: String): String = rankTurnHosts(serverId, listedHosts()).first().name
 
