turns, platform: a turn host starts with a torn or damaged log

Cause: a part of the log that was never written reads as a frame without bytes and with the right checksum. Its decoder threw in the main thread, and the process lived on without listening, at each start again.

Change: a length of zero ends the reading. The newest file is cut behind its last intact record, with a log line that says how many bytes. A record that is damaged or of an unknown form is passed over; where acknowledged records may be missing, the host copies the others before it proves anything.

--- a/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/KnownHosts.kt
@@ -1,7 +1,6 @@
 package lavendertrail.turns
 
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.io.IOException
 import java.nio.file.Files
@@ -39,7 +38,9 @@
         val saved =
             try {
                 json.decodeFromString(SavedList.serializer(), Files.readString(file))
-            } catch (_: SerializationException) {
+            } catch (_: IllegalArgumentException) {
+                return
+            } catch (_: IOException) {
                 return
             }
         val hosts = TurnHostDirectory.decode(saved.hosts) ?: return
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnLog.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnLog.kt
@@ -16,13 +16,15 @@
  * An append-only log of framed records in the files of one folder. Records that arrive during a sync share the next sync (group
  * commit), so a slow disk affects latency rather than throughput.
  *
- * Each start creates a new file, since the end of the last one may be torn. A file is deleted once all of its records have
- * expired.
+ * A loss of power may leave the last writes missing or torn, so each start cuts the newest file behind its last intact record and
+ * goes on with a new file. What can't be read in an older file may have been acknowledged. A file is deleted once all of its records
+ * have expired.
  */
 internal class TurnLog(
     private val folder: Path,
     private val nowEpochMillis: () -> Long,
     private val onFailure: (String) -> Unit,
+    private val onUnreadable: (UnreadablePart) -> Unit = {},
 ) : AutoCloseable {
     private val queue = ArrayBlockingQueue<PendingRecord>(MAX_QUEUED_RECORDS)
     private val files = mutableListOf<LogFile>()
@@ -42,25 +44,72 @@
         val path: Path,
         var expiresAtEpochMillis: Long,
         var sizeBytes: Long = 0,
+        /** The end of what the last sync of this process covers. */
+        var syncedBytes: Int = 0,
     )
 
-    /** Passes the payload of each intact frame to [onRecord], which returns its expiry time, and starts the writer thread. */
-    fun open(onRecord: (ByteArray) -> Long) {
+    /**
+     * Passes the payload of each intact frame to [onRecord], which returns its expiry time, or null if it can't decode it. Starts the
+     * writer thread.
+     */
+    fun open(onRecord: (ByteArray) -> Long?) {
         Files.createDirectories(folder)
-        val paths = Files.list(folder).use { list -> list.filter { it.fileName.toString().endsWith(SUFFIX) }.sorted().toList() }
-        for (path in paths) {
+        val paths =
+            Files
+                .list(folder)
+                .use { list -> list.toList() }
+                .mapNotNull { path -> numberOf(path)?.let { it to path } }
+                .toMap()
+        val newestNumber = paths.keys.maxOrNull() ?: 0
+        for ((number, path) in paths.toSortedMap()) files += readFile(path, isNewest = number == newestNumber, onRecord)
+        nextFileNumber = newestNumber + 1
+        writer = thread(name = "turn-log", isDaemon = true) { runWriter() }
+    }
+
+    private fun numberOf(path: Path): Long? {
+        val name = path.fileName.toString()
+        return if (name.endsWith(SUFFIX)) name.removeSuffix(SUFFIX).toLongOrNull() else null
+    }
+
+    private fun readFile(
+        path: Path,
+        isNewest: Boolean,
+        onRecord: (ByteArray) -> Long?,
+    ): LogFile {
+        val file = LogFile(path, 0)
+        try {
             val bytes = Files.readAllBytes(path)
-            val file = LogFile(path, 0, bytes.size.toLong())
-            readFrames(ByteBuffer.wrap(bytes)) { payload ->
-                file.expiresAtEpochMillis = maxOf(file.expiresAtEpochMillis, onRecord(payload))
+            file.sizeBytes = bytes.size.toLong()
+            val frames =
+                readFrames(ByteBuffer.wrap(bytes)) { payload ->
+                    val expiresAtEpochMillis = onRecord(payload)
+                    if (expiresAtEpochMillis != null) file.expiresAtEpochMillis = maxOf(file.expiresAtEpochMillis, expiresAtEpochMillis)
+                    expiresAtEpochMillis != null
+                }
+            if (frames.unreadBytes == 0) return file
+            onUnreadable(UnreadablePart(path.fileName.toString(), frames.unreadBytes, frames.undecodedCount, isNewest))
+            // Otherwise the next start would find the torn end in a file that isn't the newest any more.
+            if (isNewest) cut(file, frames.lastIntactEnd)
+        } catch (e: IOException) {
+            onFailure("reading ${path.fileName} failed: $e")
+            onUnreadable(UnreadablePart(path.fileName.toString(), file.sizeBytes.toInt(), 0, isEndOfNewest = false))
+        }
+        return file
+    }
+
+    private fun cut(
+        file: LogFile,
+        sizeBytes: Int,
+    ) {
+        try {
+            FileChannel.open(file.path, WRITE).use { channel ->
+                channel.truncate(sizeBytes.toLong())
+                channel.force(true)
             }
-            files += file
-            nextFileNumber = path.fileName
-                .toString()
-                .removeSuffix(SUFFIX)
-                .toLong() + 1
+            file.sizeBytes = sizeBytes.toLong()
+        } catch (e: IOException) {
+            onFailure("cutting ${file.path.fileName} failed: $e")
         }
-        writer = thread(name = "turn-log", isDaemon = true) { runWriter() }
     }
 
     /** Calls [onDurable] with true once the record is on disk, or with false if it couldn't be written. */
@@ -86,11 +135,13 @@
                 }
                 writeBatch(channel, batch)
                 batch.forEach { it.onDurable(true) }
-            } catch (e: IOException) {
+            } catch (e: Exception) {
+                // Without its writer the host would answer no write any more, whatever went wrong with this one.
                 onFailure("write to ${folder.fileName} failed: $e")
                 // The content of the file is unknown after a failed write or sync, so the next record goes to a new file.
                 channel?.close()
                 channel = null
+                files.lastOrNull()?.let { cut(it, it.syncedBytes) }
                 batch.forEach { it.onDurable(false) }
             }
         }
@@ -109,6 +160,7 @@
         file.expiresAtEpochMillis = maxOf(file.expiresAtEpochMillis, batch.maxOf { it.expiresAtEpochMillis })
         while (buffer.hasRemaining()) channel.write(buffer)
         channel.force(false)
+        file.syncedBytes = file.sizeBytes.toInt()
     }
 
     private fun createFile(): FileChannel {
@@ -153,23 +205,44 @@
         .put(payload)
         .flip()
 
+/** Part of a log file that was passed over: [bytes] of it, of which [undecodedRecords] whole records have an unknown form. */
+internal data class UnreadablePart(
+    val file: String,
+    val bytes: Int,
+    val undecodedRecords: Int,
+    /** Whether it is the newest file, whose end may be torn without the loss of anything that was acknowledged. */
+    val isEndOfNewest: Boolean,
+)
+
+/** What [readFrames] has read: the bytes of no decoded frame, the whole frames among them, and the end of the last whole frame. */
+internal class FramesRead(
+    val unreadBytes: Int,
+    val undecodedCount: Int,
+    val lastIntactEnd: Int,
+)
+
 /**
- * Reads frames up to the first torn or corrupt one and ignores the rest of the file. Records after a torn write were never
- * acknowledged. Records after a corrupt frame in the middle of the file are ignored too, even if they were acknowledged.
+ * Passes the payload of each intact frame to [onPayload], which returns whether it could be decoded. A frame with a wrong checksum is
+ * passed over by its length, in case the next one is intact. No record is empty, so a length of zero is the start of an unwritten part.
  */
-private fun readFrames(
+internal fun readFrames(
     bytes: ByteBuffer,
-    onPayload: (ByteArray) -> Unit,
-) {
+    onPayload: (ByteArray) -> Boolean,
+): FramesRead {
+    var readBytes = 0
+    var undecodedCount = 0
+    var lastIntactEnd = 0
     while (bytes.remaining() >= HEADER_BYTES) {
         val size = bytes.getInt()
         val checksum = bytes.getInt()
-        if (size < 0 || size > bytes.remaining()) return
+        if (size <= 0 || size > bytes.remaining()) break
         val payload = ByteArray(size)
         bytes.get(payload)
-        if (checksum(payload) != checksum) return
-        onPayload(payload)
+        if (checksum(payload) != checksum) continue
+        lastIntactEnd = bytes.position()
+        if (onPayload(payload)) readBytes += HEADER_BYTES + size else undecodedCount++
     }
+    return FramesRead(bytes.limit() - readBytes, undecodedCount, lastIntactEnd)
 }
 
 private fun checksum(payload: ByteArray): Int = CRC32C().apply { update(payload) }.value.toInt()
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnRepository.kt
@@ -21,8 +21,9 @@
     private val executor: Executor,
     private val nowEpochMillis: () -> Long,
     onDiskFailure: (String) -> Unit,
+    private val onUnreadable: (UnreadablePart) -> Unit = {},
 ) : AutoCloseable {
-    private val turnLog = TurnLog(folder.resolve("log"), nowEpochMillis, onDiskFailure)
+    private val turnLog = TurnLog(folder.resolve("log"), nowEpochMillis, onDiskFailure, ::noteUnreadable)
     private val turns = HashMap<String, TurnRecord>()
     private val uses = HashMap<String, HashMap<String, UseRecord>>()
     private val origins = HashMap<String, OriginRecord>()
@@ -53,22 +54,34 @@
 
     private var isSealed = false
 
+    /** Whether records may be missing that were acknowledged; true until the other hosts have been copied. */
+    var isDamaged = false
+        private set
+
     val turnCount: Int get() = turns.size
     val programCount: Int get() = uses.size
 
     fun open() {
         turnLog.open { payload ->
-            val record = turnCbor.decodeFromByteArray(StoredRecord.serializer(), payload)
-            if (!isExpired(record)) addToMemory(record)
-            record.expiresAtEpochMillis
+            val record = decodeRecord(payload)
+            if (record != null && !isExpired(record)) addToMemory(record)
+            record?.expiresAtEpochMillis
         }
-        isComplete = Files.exists(folder.resolve(COMPLETE_MARKER))
+        isComplete = !isDamaged && hasCompleteMarker()
+    }
+
+    private fun hasCompleteMarker() = Files.exists(folder.resolve(COMPLETE_MARKER))
+
+    private fun noteUnreadable(part: UnreadablePart) {
+        if (!part.isEndOfNewest || part.undecodedRecords > 0) isDamaged = true
+        onUnreadable(part)
     }
 
     /** Marks the disk, durably, as having all records that it should have. */
     fun markComplete() {
         Files.createDirectories(folder)
         FileChannel.open(folder.resolve(COMPLETE_MARKER), CREATE, WRITE).use { it.force(true) }
+        isDamaged = false
         isComplete = true
     }
 
@@ -81,7 +94,7 @@
     /** Accepts writes again after [seal]. */
     fun unseal() {
         isSealed = false
-        isComplete = Files.exists(folder.resolve(COMPLETE_MARKER))
+        isComplete = !isDamaged && hasCompleteMarker()
     }
 
     fun storeTurn(
@@ -365,3 +378,12 @@
     val counted = if (existing.tokenUse.merge(other.tokenUse) == existing.tokenUse) existing else other
     return counted.copy(expiresAtEpochMillis = maxOf(existing.expiresAtEpochMillis, other.expiresAtEpochMillis))
 }
+
+/** The record that [payload] encodes; null if it has an unknown form. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun decodeRecord(payload: ByteArray): StoredRecord? =
+    try {
+        turnCbor.decodeFromByteArray(StoredRecord.serializer(), payload)
+    } catch (_: IllegalArgumentException) {
+        null
+    }
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -29,7 +29,7 @@
 ) {
     private val loop = group.next()
     private val ownHost = TurnHost(settings.nodeName, settings.address, settings.failureDomain)
-    private val repository = TurnRepository(settings.folder, loop, System::currentTimeMillis, ::logDiskFailure)
+    private val repository = TurnRepository(settings.folder, loop, System::currentTimeMillis, ::logDiskFailure, ::logUnreadable)
     private val crashNoticeFile = CrashNoticeFile(settings.folder, loop, System::currentTimeMillis, ::logDiskFailure)
     private val mirror = StoreMirror()
     private val directory = TurnHostDirectory(service, mirror)
@@ -63,7 +63,7 @@
     public fun start() {
         runOnLoop { repository.open() }
         knownHosts.load()
-        if (settings.isFirstStart && !repository.isComplete) runOnLoop { repository.markComplete() }
+        if (settings.isFirstStart && !repository.isComplete && !repository.isDamaged) runOnLoop { repository.markComplete() }
         log.event("disk opened") {
             put("turns", repository.turnCount)
             put("programs", repository.programCount)
@@ -89,6 +89,15 @@
         log.event("disk failed") { put("error", message) }
     }
 
+    private fun logUnreadable(part: UnreadablePart) {
+        log.event("log file not read whole") {
+            put("file", part.file)
+            put("bytes", part.bytes)
+            put("undecodedRecords", part.undecodedRecords)
+            put("tornEnd", part.isEndOfNewest)
+        }
+    }
+
     private fun adoptCachedList() {
         directory.cached()?.let(::adopt)
     }
@@ -162,7 +171,7 @@
         val needsCopy = !isMember || !repository.isComplete
         // At the first start of the whole system there is nothing to copy, and the hosts join at the same moment; a host that was
         // removed later has missed records.
-        val isFirstJoin = settings.isFirstStart && !hasJoined
+        val isFirstJoin = settings.isFirstStart && !hasJoined && !repository.isDamaged
         if (needsCopy && !isFirstJoin && !copyRecords(others, isMember)) return
         if (!repository.isComplete) runOnLoop { repository.markComplete() }
         hasJoined = hasJoined || isMember
--- a/gateway/src/test/kotlin/lavendertrail/turns/ChainExpiryTest.kt
+++ b/gateway/src/test/kotlin/lavendertrail/turns/ChainExpiryTest.kt
@@ -26,7 +26,7 @@
         test: (store: (TurnRecord) -> Unit, repository: TurnRepository) -> T,
     ): T {
         val group = singleEventLoop()
-        val repository = TurnRepository(folder, group.next(), { nowMillis }) { error(it) }
+        val repository = TurnRepository(folder, group.next(), { nowMillis }, { error(it) })
         group.next().submit { repository.open() }.get()
         val store = { record: TurnRecord ->
             val isStored = CompletableFuture<Boolean>()
