turns: one turn host at a time paces a server

Cause: turn hosts refused calls by an older list of turn hosts for turns, budgets, origins and quotas, but not for permits. An entry host that the store refused went on asking the pacer of the old list.

Change: questions for permits are fenced like the others; reports aren't, since they go to all hosts. A host that has just become the pacer hands out half of the limit for as long as others may go by the list before.

--- a/core/src/main/kotlin/lavendertrail/serving/RequestPacer.kt
+++ b/core/src/main/kotlin/lavendertrail/serving/RequestPacer.kt
@@ -45,11 +45,15 @@
         return if (outdated.isEmpty()) this else copy(servers = outdated.fold(servers) { left, id -> left.remove(id) })
     }
 
-    /** Gives one request to the candidate at which it starts first, if it doesn't wait longer than [maxWaitMillis] there. */
+    /**
+     * Gives one request to the candidate at which it starts first, if it doesn't wait longer than [maxWaitMillis] there. Only the part
+     * [shareOf] of a server's limit is used.
+     */
     public fun decide(
         candidates: List<PermitCandidate>,
         maxWaitMillis: Long,
         nowMillis: Long,
+        shareOf: (serverId: String) -> Double = { 1.0 },
     ): Pair<RequestPacer, PermitDecision> {
         val known = record(candidates.map { StatedLimit(it.serverId, it.requestsPerSecond, it.statedMillisAgo) }, nowMillis)
         val (limited, unlimited) = candidates.partition { known.servers[it.serverId]?.requestsPerSecond != null }
@@ -58,7 +62,7 @@
                 .filter { known.waitMillis(it.serverId, nowMillis) <= maxWaitMillis }
                 .minByOrNull { known.waitMillis(it.serverId, nowMillis) + it.startDelayMillis }
         val waitMillis = chosen?.let { known.waitMillis(it.serverId, nowMillis) } ?: 0
-        val next = if (chosen == null) known else known.withPermit(chosen.serverId, nowMillis)
+        val next = if (chosen == null) known else known.withPermit(chosen.serverId, nowMillis, shareOf(chosen.serverId))
         val decision =
             PermitDecision(
                 serverId = chosen?.serverId,
@@ -77,9 +81,10 @@
     private fun withPermit(
         serverId: String,
         nowMillis: Long,
+        share: Double,
     ): RequestPacer {
         val server = servers.getValue(serverId)
-        val rate = (server.requestsPerSecond ?: 0.0).coerceAtLeast(MIN_REQUESTS_PER_SECOND)
+        val rate = (share * (server.requestsPerSecond ?: 0.0)).coerceAtLeast(MIN_REQUESTS_PER_SECOND)
         val nextPermitAtMillis = maxOf(server.nextPermitAtMillis, nowMillis) + ceil(MILLIS_PER_SECOND / rate).toLong()
         return copy(servers = servers.put(serverId, server.copy(nextPermitAtMillis = nextPermitAtMillis)))
     }
--- a/gateway/src/main/kotlin/lavendertrail/turns/PermitCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/PermitCalls.kt
@@ -15,6 +15,9 @@
 /** Many times a round trip; a turn host that takes longer is stalled. */
 private const val PERMIT_TIMEOUT_MILLIS = 200L
 
+/** Reports are as good by an old list as by a new one, and the hosts of both need them. */
+private const val ANY_LIST = 0L
+
 /** A call on a connection that has gone silent gets no answer, and the next one is sent on a new connection. */
 private const val PERMIT_ATTEMPTS = 2
 
@@ -44,7 +47,7 @@
 /** Tells all turn hosts what a server states, so that entry hosts learn it with the next reservation. */
 internal fun TurnClient.reportLimit(limit: StatedLimit) {
     val request = PermitRequest(emptyList(), limits = listOf(limit))
-    for (host in hosts.hosts) call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { it.fold({}, onCallFailure) }
+    for (host in hosts.hosts) call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS, ANY_LIST) { it.fold({}, onCallFailure) }
 }
 
 /** Tells the turn host at [address], or all of them, what may crash servers, so that they tell all entry hosts. */
@@ -54,7 +57,7 @@
 ) {
     val request = PermitRequest(emptyList(), crashEvidence = evidence)
     for (host in hosts.hosts.filter { address == null || it.address == address }) {
-        call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS) { result ->
+        call(host, TurnMethods.permit, request, PERMIT_TIMEOUT_MILLIS, ANY_LIST) { result ->
             result.fold({}, {
                 onCallFailure(it)
                 recordMissedReport(host.address)
--- a/gateway/src/main/kotlin/lavendertrail/turns/QuotaHolder.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/QuotaHolder.kt
@@ -13,12 +13,11 @@
  * entry hosts that reach the store don't ask it any more. Decisions run on the event loop.
  */
 internal class QuotaHolder(
-    private val ownHost: TurnHost,
+    ownHost: TurnHost,
     private val trustMillis: Long,
     private val nowMillis: () -> Long,
 ) {
-    private var listing = TurnHostListing(emptyList(), 0)
-    private val superseded = ArrayDeque<SupersededListing>()
+    private val lists = ListHistory(ownHost, trustMillis, nowMillis)
 
     /** When the store was last asked for the list that is known here. */
     @Volatile
@@ -26,11 +25,6 @@
     private var quotas = AccountQuotas(nowMillis())
     private var nextCleanupMillis = 0L
 
-    private class SupersededListing(
-        val hosts: List<TurnHost>,
-        val atMillis: Long,
-    )
-
     /** Records that the list known here is that of the platform's store at [askedAtMillis] or later. Called on the store's threads. */
     fun confirm(askedAtMillis: Long) {
         confirmedAtMillis = askedAtMillis
@@ -42,10 +36,9 @@
         known: TurnHostListing,
         entryHostCount: Int,
     ): QuotaReply {
-        adopt(known)
+        lists.adopt(known)
         val now = nowMillis()
-        superseded.removeAll { now - it.atMillis >= trustMillis }
-        if (!isOnlyHolderOf(question.accountName)) return QuotaReply(null, entryHostCount)
+        if (!lists.isOnlyHolder(question.accountName)) return QuotaReply(null, entryHostCount)
         val isConfirmed = confirmedAtMillis?.let { now - it < trustMillis } ?: false
         val (next, decision) = quotas.decide(question, if (isConfirmed) 1.0 else UNCONFIRMED_SHARE, now)
         quotas = next
@@ -56,15 +49,6 @@
         return QuotaReply(decision, entryHostCount)
     }
 
-    private fun adopt(known: TurnHostListing) {
-        if (known.revision <= listing.revision) return
-        if (listing.hosts.isNotEmpty()) superseded += SupersededListing(listing.hosts, nowMillis())
-        listing = known
-    }
-
-    private fun isOnlyHolderOf(accountName: String): Boolean =
-        quotaHolder(accountName, listing.hosts) == ownHost && superseded.all { quotaHolder(accountName, it.hosts) == ownHost }
-
     private companion object {
         /** The part of a limit that a host grants without having heard from the store. */
         const val UNCONFIRMED_SHARE = 0.5
--- a/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/RelayedCalls.kt
@@ -16,7 +16,6 @@
  */
 internal class RelayedCalls(
     private val loop: EventLoopGroup,
-    private val listRevision: () -> Long,
     private val onNewerList: (TurnHostListing) -> Unit,
 ) : AutoCloseable {
     private var addresses = emptyList<String>()
@@ -40,11 +39,12 @@
         method: MethodDescriptor<Q, R>,
         request: Q,
         timeoutMillis: Long,
+        listRevision: Long,
         onResult: (Result<R, StepError>) -> Unit,
     ) {
         val name = method.bareMethodName.orEmpty()
         call(
-            RelayRequest(address, name, method.streamRequest(request).readAllBytes(), listRevision()),
+            RelayRequest(address, name, method.streamRequest(request).readAllBytes(), listRevision),
             timeoutMillis,
             MAX_ATTEMPTS,
         ) { result ->
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnClient.kt
@@ -45,7 +45,7 @@
     var hosts = TurnHosts()
         private set
     private val peersByHost = mutableMapOf<TurnHost, TurnPeer>()
-    private val relayedCalls = RelayedCalls(loop, { hosts.revision }, ::adopt)
+    private val relayedCalls = RelayedCalls(loop, ::adopt)
     private val meetings = HostMeetings(relayedCalls::addRelayAddresses, onCrashEvidenceLearnt, onCrashReportsMissed, onCallFailure)
     internal val cache = TurnCache(cacheBytes)
     internal val currentHosts = CurrentHostsCheck(loop, readCurrentHosts)
@@ -81,7 +81,7 @@
         for (peer in peersByHost.values.filter { it.isUnresponsive }) {
             peer.call(TurnMethods.chain, request, PROBE_TIMEOUT_MILLIS) { result -> result.fold({}, onCallFailure) }
             if (isRelayed) {
-                relayedCalls.call(peer.address, TurnMethods.chain, request, PROBE_TIMEOUT_MILLIS) { result ->
+                relayedCalls.call(peer.address, TurnMethods.chain, request, PROBE_TIMEOUT_MILLIS, hosts.revision) { result ->
                     result.fold({}, onCallFailure)
                 }
             }
@@ -117,13 +117,14 @@
         method: MethodDescriptor<Q, R>,
         request: Q,
         timeoutMillis: Long,
+        listRevision: Long = hosts.revision,
         onResult: (Result<R, StepError>) -> Unit,
     ) {
         val peer = peersByHost[host]
         if (peer == null) {
             onResult(Err(StepError(method.bareMethodName.orEmpty(), host.address, "not a turn host any more")))
         } else {
-            call(peer, method, request, timeoutMillis, onResult)
+            call(peer, method, request, timeoutMillis, listRevision, onResult)
         }
     }
 
@@ -132,12 +133,13 @@
         method: MethodDescriptor<Q, R>,
         request: Q,
         timeoutMillis: Long,
+        listRevision: Long = hosts.revision,
         onResult: (Result<R, StepError>) -> Unit,
     ) {
         if (peer.isUnresponsive && isRelayed) {
-            relayedCalls.call(peer.address, method, request, timeoutMillis, onResult)
+            relayedCalls.call(peer.address, method, request, timeoutMillis, listRevision, onResult)
         } else {
-            peer.call(method, request, timeoutMillis, onResult = onResult)
+            peer.call(method, request, timeoutMillis, listRevision, onResult = onResult)
         }
     }
 
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnServer.kt
@@ -26,6 +26,7 @@
     onListState: (ListStateRequest) -> ListStateReply,
     crashNoticeFile: CrashNoticeFile,
     quotaHolder: QuotaHolder,
+    permits: RequestPermits,
     address: InetSocketAddress,
     loop: EventLoopGroup,
 ): Server {
@@ -36,7 +37,7 @@
         callHandler(TurnMethods.quota) { request, reply ->
             reply(quotaHolder.decide(request, knownHosts.listing, entryHosts.count()))
         }
-    val handlers = turnHandlers(repository, onListState, crashNotices, entryHosts) + quotas
+    val handlers = turnHandlers(repository, onListState, crashNotices, entryHosts, permits) + quotas
     return startCallServer(handlers, address, loop, ListFence(FENCED_METHODS) { knownHosts.listing }, sessions)
 }
 
@@ -82,13 +83,18 @@
             ServerCalls.asyncBidiStreamingCall { ServedSession(handlers, fence, sessions, it as ServerCallStreamObserver<CallFrame>) },
         ).build()
 
-/** Calls whose quorums, copies or holders depend on the list of turn hosts. */
+/**
+ * Calls whose quorums, copies or holders depend on the list of turn hosts. The others don't: meetings, reports and notices go to all
+ * hosts, a fetch or a copy asks one host what it has, and the calls by which lists are announced and records repaired bring hosts up
+ * to date. A relayed call is fenced by the host that it is for.
+ */
 private val FENCED_METHODS =
     listOf(
         TurnMethods.keep,
         TurnMethods.chain,
         TurnMethods.use,
         TurnMethods.quota,
+        TurnMethods.permit,
         TurnMethods.keepOrigin,
         TurnMethods.findOrigin,
         TurnMethods.keepUnfinished,
@@ -101,9 +107,9 @@
     onListState: (ListStateRequest) -> ListStateReply,
     crashNotices: CrashNotices,
     entryHosts: EntryHosts,
+    permits: RequestPermits = RequestPermits(::nowMillis),
 ): Map<String, CallHandler> {
     val runId = UUID.randomUUID().toString()
-    val permits = RequestPermits(::nowMillis)
     return mapOf(
         callHandler(TurnMethods.meet) { request, reply ->
             reply(MeetReply(entryHosts.announce(request.relayAddress), crashNotices.missedBy(request), runId))
--- a/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
+++ b/gateway/src/main/kotlin/lavendertrail/turns/TurnStore.kt
@@ -34,7 +34,10 @@
     private val mirror = StoreMirror()
     private val directory = TurnHostDirectory(service, mirror)
     private val knownHosts = KnownHosts(settings.folder)
-    private val quotaHolder = QuotaHolder(ownHost, QUOTA_TRUST_WAITS * settings.storeWatchWaitMillis, ::nowMillis)
+    private val listTrustMillis = LIST_TRUST_WAITS * settings.storeWatchWaitMillis
+    private val quotaHolder = QuotaHolder(ownHost, listTrustMillis, ::nowMillis)
+    private val lists = ListHistory(ownHost, listTrustMillis, ::nowMillis)
+    private val permits = RequestPermits(::nowMillis, ::shareOfLimit)
     private val watcher =
         StoreWatcher(
             service,
@@ -76,6 +79,7 @@
                 ::exchangeListState,
                 crashNoticeFile,
                 quotaHolder,
+                permits,
                 socketAddress(settings.address),
                 group,
             )
@@ -85,6 +89,12 @@
         thread(name = "turn-repair", isDaemon = true) { repairAfterChanges() }
     }
 
+    /** After a change of the list, entry hosts that don't know it yet may get the whole limit from the host that paced the server. */
+    private fun shareOfLimit(serverId: String): Double {
+        lists.adopt(knownHosts.listing)
+        return if (lists.isOnlyHolder(serverId)) 1.0 else TAKEOVER_SHARE
+    }
+
     private fun logDiskFailure(message: String) {
         log.event("disk failed") { put("error", message) }
     }
@@ -254,8 +264,11 @@
         const val JOIN_RETRY_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 500L
 
+        /** Together with a whole limit no more than the half that servers have in reserve. */
+        const val TAKEOVER_SHARE = 0.5
+
         /** One late answer of the store doesn't end the trust in the list of hosts. */
-        const val QUOTA_TRUST_WAITS = 2
+        const val LIST_TRUST_WAITS = 2
     }
 }
 
