--- a/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/lavendertrail/gateway/StreamForwarder.kt
@@ -39,15 +39,14 @@
         attempt: ServerAttempt,
         connection: ServerConnection,
         event: StreamEvent,
-    ): String? =
-        when {
-            (attempt.continuesStream || exchange.hasEarlierPart) &&
-                !event.follows(
-                    exchange.lastEventId,
-                ) -> "event ${event.id} after event ${exchange.lastEventId}"
+    ): String? {
+        val mustFollow = attempt.continuesStream || exchange.hasEarlierPart
+        return when {
+            mustFollow && !event.follows(exchange.lastEventId) -> "event ${event.id} after event ${exchange.lastEventId}"
             connection.hasMixedIn(Unpooled.wrappedBuffer(event.bytes)) -> "an event holds a part of another answer"
             else -> null
         }
+    }
 
     private fun forwardEvent(
         exchange: Exchange,
