serving: tests of resumed streams answer the look-up of the earlier part

Cause: a resume on a route that keeps turns waits for its earlier part as well as for its origin. Change: both answer the new look-up. No check is changed.

--- a/core/src/test/kotlin/lavendertrail/serving/RecordRetentionTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/RecordRetentionTest.kt
@@ -23,7 +23,10 @@
 
     private fun ServingBench.leaseOf(request: CallerRequest): OriginLease? {
         arrive(1, request)
-        if (request.resumeAfterEventId != null) apply(StreamOriginLoaded(1, server("engine-1", "engines").streamOrigin, isCertain = true))
+        if (request.resumeAfterEventId != null) {
+            apply(StreamPartLoaded(1, StreamPartResult.FOUND))
+            apply(StreamOriginLoaded(1, server("engine-1", "engines").streamOrigin, isCertain = true))
+        }
         return singleEffect<SendToServer>().originLease
     }
 
--- a/core/src/test/kotlin/lavendertrail/serving/ServerChangesTest.kt
+++ b/core/src/test/kotlin/lavendertrail/serving/ServerChangesTest.kt
@@ -111,6 +111,7 @@
             waiting -= effect
             when (effect) {
                 is LoadHistory -> apply(HistoryLoaded(effect.key, HistoryResult.FOUND))
+                is LoadStreamPart -> apply(StreamPartLoaded(effect.key, StreamPartResult.FOUND))
                 is LoadStreamOrigin -> apply(StreamOriginLoaded(effect.key, StreamOrigin("engines", ""), isCertain = true))
                 is ReserveTokens -> apply(TokensReserved(effect.key, ReservationResult.RESERVED, "engine-1"))
                 is RequestPermit -> {
